--- a/apps/cassiashed/connection.h
+++ b/apps/cassiashed/connection.h
@@ -2,7 +2,7 @@
 
 #include "cassiashed/config/host_port.h"
 #include "cassiashed/control/operator_client.h"
-#include "cassiashed/platform/platform_client.h"
+#include "cassiashed/store/platform_client.h"
 #include <boost/program_options.hpp>
 #include <memory>
 #include <optional>
--- a/apps/cassiashed/main.cpp
+++ b/apps/cassiashed/main.cpp
@@ -5,9 +5,13 @@
 #include "cassiashed/admin/status.h"
 #include "cassiashed/admin/zone.h"
 #include "cassiashed/base/event_log.h"
+#include "cassiashed/config/gateway_settings.h"
 #include "cassiashed/config/settings.h"
+#include "cassiashed/gateway/gateway.h"
 #include "cassiashed/node/node.h"
 #include "connection.h"
+#include "platform/dialect.h"
+#include "platform/store_client.h"
 #include <array>
 #include <cstdlib>
 #include <iostream>
@@ -66,6 +70,22 @@
   return ExitFailed;
 }
 
+int runGatewayCommand(const po::variables_map &Values) {
+  const std::string &Path = readArgument(Values, "settings");
+  Problems Found;
+  const auto Options = loadGatewaySettings(Path, Found);
+  if (!Options) {
+    for (const Problem &Error : Found)
+      std::cerr << formatProblem(Error) << "\n";
+    return ExitFailed;
+  }
+  gateway::GatewayAdapter Adapter;
+  Adapter.Protocol = platform::makeDialect();
+  Adapter.Store = platform::makeStoreClient(
+      {Options->Store.Host, Options->Store.Port});
+  return gateway::runGateway(*Options, Path, std::move(Adapter));
+}
+
 int runApply(const po::variables_map &Values) {
   ApplyOptions Options;
   Options.File = readArgument(Values, "FILE");
@@ -125,6 +145,14 @@
                   "settings file of this node");
             },
             runNodeCommand},
+    Command{"gateway", "--settings FILE",
+            "run one node of a deployment on the users' platform",
+            [](CommandLine &Line) {
+              Line.Options.add_options()(
+                  "settings", po::value<std::string>()->value_name("FILE"),
+                  "settings file of this node");
+            },
+            runGatewayCommand},
     Command{"apply", "FILE [--platform IP:PORT] [--author NAME]",
             "put a deployment file into effect",
             [](CommandLine &Line) {
--- a/include/cassiashed/admin/zone.h
+++ b/include/cassiashed/admin/zone.h
@@ -2,7 +2,7 @@
 
 #include "cassiashed/config/deployment.h"
 #include "cassiashed/control/operator_client.h"
-#include "cassiashed/platform/config_store.h"
+#include "cassiashed/store/config_store.h"
 #include <optional>
 #include <ostream>
 #include <string>
--- /dev/null
+++ b/include/cassiashed/balancing/dispatcher.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "cassiashed/balancing/cold_share.h"
+#include "cassiashed/balancing/endpoint_health.h"
+#include "cassiashed/balancing/fleet_load.h"
+#include "cassiashed/catalog/endpoint_directory.h"
+#include "cassiashed/catalog/service_config.h"
+#include <functional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cassiashed::balancing {
+
+/// A request that needs an endpoint.
+struct DispatchRequest {
+  const catalog::Service *Target = nullptr;
+  PlacementRequest Work;      ///< prompt, goal and value; `Id` unique
+  bool AlwaysPlace = false;   ///< even if it would be late: it has begun
+  std::set<std::uint32_t> Excluded; ///< endpoints already tried, by number
+  std::vector<std::string> Regions; ///< allowed regions; empty: all
+};
+
+enum class DispatchFailure {
+  None,
+  NoEndpoint, ///< none is registered and in service
+  AllCold,    ///< the share of every cold endpoint is used up
+  AllBusy,    ///< no engine has room in time
+};
+std::string_view nameOf(DispatchFailure Failure);
+
+struct Dispatch {
+  std::vector<catalog::EndpointRef> Endpoints; ///< the first writes the answer
+  std::vector<PlacedPart> Parts;               ///< one per endpoint
+  double FirstTokenMs = 0;                     ///< predicted; 0: unknown
+  DispatchFailure Failure = DispatchFailure::None;
+  Duration RetryAfter{0}; ///< when a refused request should come back
+};
+
+struct DispatcherOptions {
+  std::string Zone; ///< of this node
+  std::map<std::string, std::string> RegionOfZone;
+  double OtherZoneMs = 1.5; ///< one way to an endpoint of another zone
+  /// Requests per slot of a plain service beyond which no more are sent: each
+  /// waits for as many runs.
+  double MaxPerSlot = 4;
+};
+
+/// Chooses endpoints for requests of all services. Load: the fleet's normal
+/// mix, failing, cold and full endpoints. Not thread-safe.
+class Dispatcher {
+public:
+  /// How many connections more this node may open to an endpoint.
+  using ConnectionRoom = std::function<int(const catalog::KnownEndpoint &)>;
+
+  Dispatcher(const catalog::EndpointDirectory &Directory, FleetLoad &Load,
+             const EndpointHealth &Health, const ColdShare &Cold,
+             DispatcherOptions Options);
+
+  void setConnectionRoom(ConnectionRoom Room) { Room_ = std::move(Room); }
+  void setNodeCount(int Count) { NodeCount_ = Count; }
+
+  Dispatch choose(const DispatchRequest &Request, TimePoint Now,
+                  std::mt19937_64 &Random);
+
+private:
+  std::vector<catalog::EndpointRef> candidates(const DispatchRequest &Request,
+                                               TimePoint Now,
+                                               DispatchFailure &Failure) const;
+  Dispatch choosePlain(const DispatchRequest &Request,
+                       const std::vector<catalog::EndpointRef> &Candidates,
+                       TimePoint Now, std::mt19937_64 &Random) const;
+  Dispatch chooseEngines(const DispatchRequest &Request,
+                         const std::vector<catalog::EndpointRef> &Candidates,
+                         TimePoint Now);
+
+  const catalog::EndpointDirectory &Directory_;
+  FleetLoad &Load_;
+  const EndpointHealth &Health_;
+  const ColdShare &Cold_;
+  DispatcherOptions Options_;
+  ConnectionRoom Room_;
+  int NodeCount_ = 1;
+};
+
+} // namespace cassiashed::balancing
--- /dev/null
+++ b/include/cassiashed/balancing/endpoint_health.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "cassiashed/base/clock.h"
+#include <cstdint>
+#include <unordered_map>
+
+namespace cassiashed::balancing {
+
+/// How a request ended at an endpoint, as far as it says something about the
+/// endpoint.
+enum class EndpointOutcome {
+  Answered,
+  FailedAnswer, ///< the endpoint's own 5xx
+  Refused,      ///< not run: full or ending
+  Broken,       ///< reset, truncated or garbled
+  Silent,       ///< no answer in time
+  Unreachable,  ///< no connection
+};
+
+struct EndpointHealthOptions {
+  Duration HalfLife{3000};     ///< of what is remembered
+  double FailureWeight = 0.5;  ///< doubt added by a broken answer
+  double SilenceWeight = 1.0;  ///< doubt added by silence
+  double RefusalWeight = 0.15; ///< doubt added by a refusal
+  Duration UnreachablePause{1500}; ///< no requests after a failed connection
+};
+
+/// Doubts about endpoints, from this node's own requests. Load: replicas that
+/// fail or delay part of their requests while their entry says ready. Not
+/// thread-safe.
+class EndpointHealth {
+public:
+  explicit EndpointHealth(EndpointHealthOptions Options = {})
+      : Options_(Options) {}
+
+  void note(std::uint32_t Number, EndpointOutcome Outcome, TimePoint Now);
+  /// 0: none; about 1: the next request will probably fail.
+  double doubt(std::uint32_t Number, TimePoint Now) const;
+  /// Whether the endpoint should get no request at all for now.
+  bool isPaused(std::uint32_t Number, TimePoint Now) const;
+  void forget(std::uint32_t Number) { Records_.erase(Number); }
+
+private:
+  struct Record {
+    double Doubt = 0;
+    TimePoint At;
+    TimePoint PausedUntil;
+  };
+  double decayed(const Record &Entry, TimePoint Now) const;
+
+  EndpointHealthOptions Options_;
+  std::unordered_map<std::uint32_t, Record> Records_;
+};
+
+} // namespace cassiashed::balancing
--- /dev/null
+++ b/include/cassiashed/balancing/placement.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "cassiashed/engine/engine_timeline.h"
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+/// Which engines run a request.
+namespace cassiashed::balancing {
+
+struct PlacementOptions {
+  /// Share of a request's value that remains when it is late.
+  double LateShare = 0.25;
+  /// Most engines that read one prompt, the first included.
+  std::size_t MaxEngines = 17;
+  /// Prompts below it are read by one engine: a helper costs a message and a
+  /// wait for its pass.
+  double MinSplitTokens = 16000;
+  /// Part of an engine's free memory that is planned with; the rest covers
+  /// work that other nodes have just sent.
+  double UsableMemory = 0.9;
+  /// Value of one more engine that takes part, relative to the request's.
+  double HelperCost = 0.002;
+};
+
+/// One engine that could run the request.
+struct EngineCandidate {
+  engine::EngineTimeline *Timeline = nullptr;
+  double TransitMs = 0; ///< one way from this node
+  double Handicap = 0;  ///< value lost by using it, for doubts about it
+  bool MayHelp = true;
+};
+
+struct PlacementRequest {
+  std::uint64_t Id = 0;
+  double PromptTokens = 0;
+  double OutputTokens = 0;
+  double FirstTokenMs = 0; ///< time left to be on time
+  double DeadlineMs = 0;   ///< time left until the answer is worthless
+  double PauseMs = 0;
+  double Value = 1;
+};
+
+/// Part of a request at one engine.
+struct PlacedPart {
+  std::size_t Candidate = 0;
+  double PromptTokens = 0;  ///< that it reads
+  double ReservedTokens = 0; ///< memory to reserve there; 0: none
+  double MemoryTokens = 0;  ///< memory that the request holds there
+};
+
+struct Placement {
+  std::vector<PlacedPart> Parts; ///< the first one writes the answer
+  double FirstTokenMs = 0;       ///< predicted, from now
+  double Loss = 0; ///< value lost by the request and by others
+};
+
+/// Chooses the engines with the least loss of value. Load: prompts of very
+/// different lengths on the same engines; a long prompt is split over as many
+/// engines as keeps the pauses of the streams there within their limits.
+/// Returns nothing if no engine has the memory.
+std::optional<Placement>
+choosePlacement(const PlacementRequest &Request,
+                const std::vector<EngineCandidate> &Candidates,
+                const engine::EngineSpec &Spec, TimePoint Now,
+                const PlacementOptions &Options = {});
+
+/// The job that a part of a placed request is at its engine.
+engine::EngineJob makeJob(const PlacementRequest &Request,
+                          const PlacedPart &Part, bool Writes, TimePoint Now,
+                          const PlacementOptions &Options = {});
+
+} // namespace cassiashed::balancing
--- a/include/cassiashed/calls/call_batcher.h
+++ b/include/cassiashed/calls/call_batcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cassiashed/base/clock.h"
-#include "cassiashed/platform/table_service.h"
+#include "cassiashed/store/table_service.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/cassiashed/calls/call_record.h
+++ b/include/cassiashed/calls/call_record.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cassiashed/platform/table_service.h"
+#include "cassiashed/store/table_service.h"
 
 #include <chrono>
 #include <cstdint>
--- /dev/null
+++ b/include/cassiashed/config/gateway_settings.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "cassiashed/base/clock.h"
+#include "cassiashed/config/host_port.h"
+#include "cassiashed/config/problem.h"
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Settings of a gateway process, an INI file.
+namespace cassiashed {
+
+struct GatewayIdentity {
+  std::string Name;
+  std::string Zone;
+  std::string Region;
+  HostPort Listen;                 ///< callers
+  HostPort Readiness;              ///< the balancer's check
+  HostPort Internal;               ///< other nodes: UDP messages and TCP reads
+  std::optional<HostPort> Metrics; ///< none: not served
+};
+
+struct GatewayCluster {
+  /// Addresses of other nodes; their IP is used with the port of `internal`.
+  std::vector<HostPort> Seeds;
+  std::map<std::string, std::string> RegionOfZone;
+};
+
+struct GatewayLimits {
+  double CpuShare = 1;          ///< cores that the process may use
+  int MemoryMb = 256;           ///< the process is killed above it
+  int FileDescriptors = 1024;
+};
+
+/// Bounds that the deployment promises; each holds over all nodes.
+struct GatewayBounds {
+  Duration Drain{2000};       ///< from a leaving notice to the last new request
+  Duration Grace{8000};       ///< from SIGTERM to SIGKILL
+  Duration RetryWindow{10000};
+  double RetryRatio = 0.2;    ///< repeats per first attempt
+  double RetrySlack = 100;    ///< repeats besides, in a window
+  double ColdOverage = 1.5;   ///< factor on what a cold endpoint bears
+  double ColdSlack = 5;       ///< requests per second on top
+  Duration ReservationMax{20000}; ///< longest reservation at an engine
+  Duration ReservationFree{4000}; ///< unused memory must be free after it
+};
+
+struct GatewaySettings {
+  GatewayIdentity Gateway;
+  HostPort Store;
+  GatewayCluster Cluster;
+  GatewayLimits Limits;
+  GatewayBounds Bounds;
+};
+
+/// Parses a settings file. Returns nothing and adds every error to `Errors`
+/// if the file is not valid.
+std::optional<GatewaySettings> parseGatewaySettings(std::string_view Text,
+                                                    const std::string &FileName,
+                                                    Problems &Errors);
+std::optional<GatewaySettings> loadGatewaySettings(const std::string &Path,
+                                                   Problems &Errors);
+
+} // namespace cassiashed
--- /dev/null
+++ b/include/cassiashed/engine/engine_timeline.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "cassiashed/base/clock.h"
+#include "cassiashed/engine/engine_spec.h"
+#include <cstdint>
+#include <vector>
+
+/// Prediction of what one engine does with the work that it holds.
+namespace cassiashed::engine {
+
+/// What a request expects, and what is lost when it is late.
+struct ServiceGoal {
+  TimePoint FirstTokenBy;      ///< latest first token that is on time
+  double PauseMs = 0;          ///< longest pause between events; 0: any
+  double LateLoss = 0;         ///< value lost when late
+};
+
+/// Work of one request at one engine.
+struct EngineJob {
+  std::uint64_t Id = 0;
+  double PromptTokens = 0; ///< tokens that this engine prefills
+  /// Length of the whole prompt if this engine prefills only a part of it.
+  double WholePromptTokens = 0;
+  double OutputTokens = 0; ///< 0: the engine only prefills
+  double MemoryTokens = 0; ///< KV cache held at this engine
+  ServiceGoal Goal;
+};
+
+/// Outcome of adding a job.
+struct Forecast {
+  double FirstTokenMs = 0; ///< from now
+  double LossToOthers = 0; ///< value that requests already there would lose
+};
+
+/// Simulates the passes of one engine. Time is an argument; not thread-safe.
+///
+/// ```cpp
+/// EngineTimeline Engine(Spec);
+/// Engine.add(Job, Now);
+/// const Forecast Next = Engine.forecast(Other, Now);
+/// ```
+class EngineTimeline {
+public:
+  explicit EngineTimeline(const EngineSpec &Spec) : Spec_(Spec) {}
+
+  void setSpec(const EngineSpec &Spec) { Spec_ = Spec; }
+  /// Durations are multiplied by `Pace`; above 1 for a slow replica.
+  void setPace(double Pace) { Pace_ = Pace; }
+  double pace() const { return Pace_; }
+
+  /// Work that reaches the engine after `TransitMs`.
+  void add(const EngineJob &Job, TimePoint Now, double TransitMs = 0);
+  void remove(std::uint64_t Id, TimePoint Now);
+  /// The request produced its first token, whatever the prediction says.
+  void markFirstToken(std::uint64_t Id, TimePoint Now);
+  void clear() { Jobs_.clear(); }
+
+  /// Brings the state to `Now`.
+  void advance(TimePoint Now);
+
+  Forecast forecast(const EngineJob &Job, TimePoint Now, double TransitMs = 0);
+
+  std::size_t jobCount() const { return Jobs_.size(); }
+  bool holds(std::uint64_t Id) const;
+  double memoryInUse() const;
+  /// Jobs whose goal allows pauses shorter than `PauseMs`.
+  int jobsWithPauseBelow(double PauseMs) const;
+
+private:
+  struct Running {
+    EngineJob Job;
+    double ArrivesAt = 0; ///< ms since the epoch of the timeline
+    double Prefilled = 0;
+    double Produced = 0;
+    double LastEventAt = 0;
+    bool Decoding = false;
+    bool Late = false; ///< already late; more delay costs nothing
+  };
+
+  double toMs(TimePoint When) const;
+  double prefillCost(const Running &Entry, double Begin, double End) const;
+  /// Runs one pass that begins at `Begin`; returns its end, or `Begin` if
+  /// nothing can run.
+  double runPass(std::vector<Running> &Jobs, double Begin,
+                 std::uint64_t Watched, double *WatchedFirstAt,
+                 double *Loss) const;
+  static double latenessOf(double AtMs, double LimitMs);
+  double lossUntilDrained(std::vector<Running> Jobs, double Begin,
+                          std::uint64_t Watched, double *FirstAt) const;
+
+  EngineSpec Spec_;
+  double Pace_ = 1;
+  std::vector<Running> Jobs_;
+  double PassEndsAt_ = 0;
+  /// Value lost without a new job, until the state changes.
+  double BaselineLoss_ = -1;
+};
+
+} // namespace cassiashed::engine
--- a/include/cassiashed/membership/ownership.h
+++ b/include/cassiashed/membership/ownership.h
@@ -2,7 +2,7 @@
 
 #include "cassiashed/base/clock.h"
 #include "cassiashed/membership/messages.h"
-#include "cassiashed/platform/table_service.h"
+#include "cassiashed/store/table_service.h"
 #include <cstdint>
 #include <memory>
 #include <optional>
--- a/include/cassiashed/platform/config_store.h
+++ b/include/cassiashed/store/config_store.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "cassiashed/base/clock.h"
-#include "cassiashed/platform/object_store.h"
-#include "cassiashed/platform/table_service.h"
+#include "cassiashed/store/object_store.h"
+#include "cassiashed/store/table_service.h"
 #include <cstdint>
 #include <optional>
 #include <string>
--- a/include/cassiashed/platform/platform_client.h
+++ b/include/cassiashed/store/platform_client.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "cassiashed/base/clock.h"
-#include "cassiashed/platform/host_list.h"
-#include "cassiashed/platform/object_store.h"
-#include "cassiashed/platform/table_service.h"
+#include "cassiashed/store/host_list.h"
+#include "cassiashed/store/object_store.h"
+#include "cassiashed/store/table_service.h"
 #include <memory>
 
 namespace cassiashed {
--- a/src/admin/admin_test.cpp
+++ b/src/admin/admin_test.cpp
@@ -5,7 +5,7 @@
 #include "cassiashed/admin/status.h"
 #include "cassiashed/admin/zone.h"
 #include "cassiashed/control/operator_server.h"
-#include "platform/fake_platform_test.h"
+#include "store/fake_platform_test.h"
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
 #include <filesystem>
--- a/src/admin/publish_report.h
+++ b/src/admin/publish_report.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cassiashed/platform/config_store.h"
+#include "cassiashed/store/config_store.h"
 #include <ostream>
 #include <string>
 
--- /dev/null
+++ b/src/balancing/cold_share.cpp
@@ -0,0 +1,31 @@
+#include "cassiashed/balancing/cold_share.h"
+
+#include <algorithm>
+
+namespace cassiashed::balancing {
+namespace {
+
+/// Part of the bound in use. Requests sent evenly may arrive closer together,
+/// and a window of one second can hold one send more than its average.
+constexpr double UsedPart = 0.6;
+
+} // namespace
+
+bool ColdShare::maySend(std::uint32_t Number, double ColdRequestsPerSecond,
+                        int NodeCount, TimePoint Now) const {
+  if (ColdRequestsPerSecond <= 0)
+    return true;
+  const double Limit =
+      (ColdRequestsPerSecond * Options_.Overage + Options_.Slack) * UsedPart;
+  const double SpacingMs = 1000.0 * std::max(1, NodeCount) / Limit;
+  const auto Last = LastSent_.find(Number);
+  return Last == LastSent_.end() ||
+         std::chrono::duration<double, std::milli>(Now - Last->second)
+                 .count() >= SpacingMs;
+}
+
+void ColdShare::noteSent(std::uint32_t Number, TimePoint Now) {
+  LastSent_[Number] = Now;
+}
+
+} // namespace cassiashed::balancing
--- /dev/null
+++ b/src/balancing/dispatcher.cpp
@@ -0,0 +1,150 @@
+#include "cassiashed/balancing/dispatcher.h"
+
+#include <algorithm>
+#include <array>
+
+namespace cassiashed::balancing {
+namespace {
+
+using catalog::EndpointRef;
+
+/// When a request should come back that found no endpoint at all: about the
+/// time in which a replaced replica registers.
+constexpr Duration NoEndpointRetry{1000};
+/// When a request should come back that only cold endpoints could serve.
+constexpr Duration ColdRetry{500};
+constexpr Duration BusyRetry{300};
+/// Load that one unit of doubt about an endpoint counts as, in requests per
+/// slot.
+constexpr double DoubtAsLoad = 2;
+/// Doubt above which an endpoint does not help with prompts of others.
+constexpr double MaxHelperDoubt = 0.3;
+
+} // namespace
+
+std::string_view nameOf(DispatchFailure Failure) {
+  static constexpr std::array<std::string_view, 4> Names = {
+      "none", "no_endpoint", "all_cold", "all_busy"};
+  return Names[static_cast<std::size_t>(Failure)];
+}
+
+Dispatcher::Dispatcher(const catalog::EndpointDirectory &Directory,
+                       FleetLoad &Load, const EndpointHealth &Health,
+                       const ColdShare &Cold, DispatcherOptions Options)
+    : Directory_(Directory), Load_(Load), Health_(Health), Cold_(Cold),
+      Options_(std::move(Options)) {}
+
+std::vector<EndpointRef>
+Dispatcher::candidates(const DispatchRequest &Request, TimePoint Now,
+                       DispatchFailure &Failure) const {
+  Failure = DispatchFailure::NoEndpoint;
+  std::vector<EndpointRef> Result;
+  std::vector<EndpointRef> Paused;
+  for (EndpointRef &Each : Directory_.usable(Request.Target->Name)) {
+    if (Request.Excluded.count(Each->Number) != 0)
+      continue;
+    if (!Request.Regions.empty()) {
+      const auto Region = Options_.RegionOfZone.find(Each->Entry.Zone);
+      if (Region == Options_.RegionOfZone.end() ||
+          std::find(Request.Regions.begin(), Request.Regions.end(),
+                    Region->second) == Request.Regions.end())
+        continue;
+    }
+    if (Each->ColdUntil > Now &&
+        !Cold_.maySend(Each->Number, Request.Target->ColdRequestsPerSecond,
+                       NodeCount_, Now)) {
+      Failure = DispatchFailure::AllCold;
+      continue;
+    }
+    if (Room_ && Room_(*Each) <= 0) {
+      Failure = DispatchFailure::AllBusy;
+      continue;
+    }
+    if (Health_.isPaused(Each->Number, Now))
+      Paused.push_back(std::move(Each));
+    else
+      Result.push_back(std::move(Each));
+  }
+  // With nothing else left, an endpoint in doubt is better than a refusal.
+  return Result.empty() ? Paused : Result;
+}
+
+Dispatch Dispatcher::choose(const DispatchRequest &Request, TimePoint Now,
+                            std::mt19937_64 &Random) {
+  Dispatch Result;
+  const std::vector<EndpointRef> Candidates =
+      candidates(Request, Now, Result.Failure);
+  if (Candidates.empty()) {
+    Result.RetryAfter = Result.Failure == DispatchFailure::NoEndpoint
+                            ? NoEndpointRetry
+                            : ColdRetry;
+    return Result;
+  }
+  return Request.Target->Engine ? chooseEngines(Request, Candidates, Now)
+                                : choosePlain(Request, Candidates, Now, Random);
+}
+
+Dispatch
+Dispatcher::choosePlain(const DispatchRequest &Request,
+                        const std::vector<EndpointRef> &Candidates,
+                        TimePoint Now, std::mt19937_64 &Random) const {
+  Dispatch Result;
+  std::uniform_real_distribution<double> Jitter(0, 0.1);
+  double Best = 0;
+  for (const EndpointRef &Each : Candidates) {
+    const double PerSlot = Load_.outstanding(Each->Entry.Id) /
+                           static_cast<double>(std::max(1, Each->Entry.Slots));
+    if (PerSlot >= Options_.MaxPerSlot)
+      continue;
+    const double Load = PerSlot +
+                        Health_.doubt(Each->Number, Now) * DoubtAsLoad +
+                        (Each->Entry.Zone == Options_.Zone ? 0 : 0.05) +
+                        Jitter(Random);
+    if (Result.Endpoints.empty() || Load < Best) {
+      Best = Load;
+      Result.Endpoints = {Each};
+    }
+  }
+  if (Result.Endpoints.empty()) {
+    Result.Failure = DispatchFailure::AllBusy;
+    Result.RetryAfter = BusyRetry;
+    return Result;
+  }
+  Result.Parts = {PlacedPart{}};
+  (void)Request;
+  return Result;
+}
+
+Dispatch
+Dispatcher::chooseEngines(const DispatchRequest &Request,
+                          const std::vector<EndpointRef> &Candidates,
+                          TimePoint Now) {
+  Dispatch Result;
+  const engine::EngineSpec &Spec = *Request.Target->Engine;
+  std::vector<EngineCandidate> Engines;
+  Engines.reserve(Candidates.size());
+  for (const EndpointRef &Each : Candidates) {
+    EngineCandidate Entry;
+    Entry.Timeline = &Load_.timeline(Each->Entry.Id, Spec);
+    Entry.TransitMs =
+        Each->Entry.Zone == Options_.Zone ? 0.2 : Options_.OtherZoneMs;
+    const double Doubt = Health_.doubt(Each->Number, Now);
+    Entry.Handicap = Doubt * Request.Work.Value;
+    Entry.MayHelp = Doubt < MaxHelperDoubt && Each->ColdUntil <= Now;
+    Engines.push_back(Entry);
+  }
+  const auto Chosen = choosePlacement(Request.Work, Engines, Spec, Now);
+  if (!Chosen || (!Request.AlwaysPlace &&
+                  Chosen->FirstTokenMs >= Request.Work.DeadlineMs)) {
+    Result.Failure = DispatchFailure::AllBusy;
+    Result.RetryAfter = BusyRetry;
+    return Result;
+  }
+  for (const PlacedPart &Part : Chosen->Parts)
+    Result.Endpoints.push_back(Candidates[Part.Candidate]);
+  Result.Parts = Chosen->Parts;
+  Result.FirstTokenMs = Chosen->FirstTokenMs;
+  return Result;
+}
+
+} // namespace cassiashed::balancing
--- /dev/null
+++ b/src/balancing/placement.cpp
@@ -0,0 +1,169 @@
+#include "cassiashed/balancing/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <numeric>
+
+namespace cassiashed::balancing {
+namespace {
+
+using engine::EngineJob;
+using engine::EngineSpec;
+using engine::Forecast;
+
+/// Numbers of engines that are tried for one prompt.
+constexpr std::array<std::size_t, 10> SplitSizes = {1, 2,  3,  4,  6,
+                                                    8, 10, 12, 14, 17};
+/// Value of one second of earlier first token, relative to the request's
+/// value: breaks ties between engines that are all in time.
+constexpr double EarlinessWeight = 0.02;
+
+double ownLoss(const PlacementRequest &Request, double FirstTokenMs,
+               const PlacementOptions &Options) {
+  if (FirstTokenMs >= Request.DeadlineMs)
+    return Request.Value;
+  // The prediction errs by some 20 percent; a first token close to its limit
+  // is late with a probability that grows over that range.
+  const double Lateness =
+      Request.FirstTokenMs <= 0
+          ? 1
+          : std::clamp((FirstTokenMs / Request.FirstTokenMs - 0.8) / 0.3, 0.0,
+                       1.0);
+  return Request.Value * (1 - Options.LateShare) * Lateness +
+         Request.Value * EarlinessWeight * FirstTokenMs / 1000;
+}
+
+struct Assessment {
+  std::size_t Candidate = 0;
+  double FirstTokenMs = 0;
+  double Loss = 0;
+};
+
+double freeMemory(const EngineCandidate &Candidate, const EngineSpec &Spec,
+                  const PlacementOptions &Options) {
+  if (Spec.MemoryTokens <= 0)
+    return 1e18;
+  return std::max(0.0, Spec.MemoryTokens - Candidate.Timeline->memoryInUse()) *
+         Options.UsableMemory;
+}
+
+/// Distributes the memory of the request: reservations at the helpers, the
+/// rest at the first engine. Returns false if it does not fit.
+bool assignMemory(const PlacementRequest &Request,
+                  const std::vector<EngineCandidate> &Candidates,
+                  const EngineSpec &Spec, const PlacementOptions &Options,
+                  std::vector<PlacedPart> &Parts) {
+  const double Needed = Request.PromptTokens + Request.OutputTokens;
+  // The first engine waits for memory that is in use, so only what never
+  // fits has to be reserved elsewhere; what does not fit now is preferred
+  // elsewhere too.
+  const double AtFirst =
+      freeMemory(Candidates[Parts.front().Candidate], Spec, Options);
+  double Rest = Needed;
+  for (std::size_t Index = 1; Index < Parts.size() && Rest > AtFirst;
+       ++Index) {
+    const double Free =
+        freeMemory(Candidates[Parts[Index].Candidate], Spec, Options);
+    const double Taken = std::floor(std::min(Free, Rest - AtFirst));
+    if (Taken < 1000)
+      continue; // too little to be worth a reservation
+    Parts[Index].ReservedTokens = Taken;
+    Parts[Index].MemoryTokens = Taken;
+    Rest -= Taken;
+  }
+  Parts.front().MemoryTokens = Rest;
+  return Spec.MemoryTokens <= 0 || Rest <= AtFirst ||
+         (Parts.size() == 1 && Rest <= Spec.MemoryTokens * Options.UsableMemory);
+}
+
+} // namespace
+
+EngineJob makeJob(const PlacementRequest &Request, const PlacedPart &Part,
+                  bool Writes, TimePoint Now,
+                  const PlacementOptions &Options) {
+  EngineJob Job;
+  Job.Id = Request.Id;
+  Job.PromptTokens = Part.PromptTokens;
+  if (Part.PromptTokens < Request.PromptTokens)
+    Job.WholePromptTokens = Request.PromptTokens;
+  Job.MemoryTokens = Part.MemoryTokens;
+  if (Writes) {
+    Job.OutputTokens = std::max(1.0, Request.OutputTokens);
+    Job.Goal.FirstTokenBy =
+        Now + std::chrono::duration_cast<TimePoint::duration>(
+                  std::chrono::duration<double, std::milli>(
+                      Request.FirstTokenMs));
+    Job.Goal.PauseMs = Request.PauseMs;
+    Job.Goal.LateLoss = Request.Value * (1 - Options.LateShare);
+  }
+  return Job;
+}
+
+std::optional<Placement>
+choosePlacement(const PlacementRequest &Request,
+                const std::vector<EngineCandidate> &Candidates,
+                const EngineSpec &Spec, TimePoint Now,
+                const PlacementOptions &Options) {
+  std::optional<Placement> Best;
+  std::vector<Assessment> Ranked(Candidates.size());
+  for (const std::size_t Size : SplitSizes) {
+    if (Size > Options.MaxEngines || Size > Candidates.size())
+      break;
+    if (Size > 1 && Request.PromptTokens < Options.MinSplitTokens)
+      break;
+    PlacedPart Part;
+    Part.PromptTokens = Request.PromptTokens / static_cast<double>(Size);
+    Part.MemoryTokens = Request.PromptTokens + Request.OutputTokens;
+    if (Size > 1)
+      Part.MemoryTokens = 0;
+    const EngineJob Job = makeJob(Request, Part, true, Now, Options);
+    for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+      const EngineCandidate &Each = Candidates[Index];
+      const Forecast Next = Each.Timeline->forecast(Job, Now, Each.TransitMs);
+      Ranked[Index] = {Index, Next.FirstTokenMs,
+                       Next.LossToOthers + Each.Handicap};
+    }
+    const auto Cost = [&](const Assessment &Each) {
+      return Each.Loss + ownLoss(Request, Each.FirstTokenMs, Options);
+    };
+    std::sort(Ranked.begin(), Ranked.end(),
+              [&](const Assessment &Left, const Assessment &Right) {
+                return Cost(Left) < Cost(Right);
+              });
+    Placement Option;
+    for (const Assessment &Each : Ranked) {
+      if (Option.Parts.size() == Size)
+        break;
+      if (Size > 1 && !Candidates[Each.Candidate].MayHelp)
+        continue;
+      PlacedPart Chosen;
+      Chosen.Candidate = Each.Candidate;
+      Chosen.PromptTokens = Part.PromptTokens;
+      Option.Parts.push_back(Chosen);
+      Option.FirstTokenMs = std::max(Option.FirstTokenMs, Each.FirstTokenMs);
+      Option.Loss += Each.Loss;
+    }
+    if (Option.Parts.size() < Size)
+      continue;
+    // The engine with the most free memory keeps the prompt.
+    const auto Roomiest = std::max_element(
+        Option.Parts.begin(), Option.Parts.end(),
+        [&](const PlacedPart &Left, const PlacedPart &Right) {
+          return freeMemory(Candidates[Left.Candidate], Spec, Options) <
+                 freeMemory(Candidates[Right.Candidate], Spec, Options);
+        });
+    if (Size > 1)
+      std::iter_swap(Option.Parts.begin(), Roomiest);
+    if (!assignMemory(Request, Candidates, Spec, Options, Option.Parts))
+      continue;
+    Option.Loss += ownLoss(Request, Option.FirstTokenMs, Options) +
+                   Request.Value * Options.HelperCost *
+                       static_cast<double>(Size - 1);
+    if (!Best || Option.Loss < Best->Loss)
+      Best = std::move(Option);
+  }
+  return Best;
+}
+
+} // namespace cassiashed::balancing
--- /dev/null
+++ b/src/engine/engine_timeline.cpp
@@ -0,0 +1,266 @@
+#include "cassiashed/engine/engine_timeline.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cassiashed::engine {
+namespace {
+
+/// Passes simulated ahead before a job counts as not started.
+constexpr int MaxForecastPasses = 400;
+/// A forecast ends this long after the watched job started, since what comes
+/// later is governed by work that has not arrived yet.
+constexpr double ForecastTailMs = 400;
+/// Below this share of its limit an event is surely on time; the rest of the
+/// range is for the error of the prediction.
+constexpr double SurelyOnTime = 0.7;
+constexpr double SurelyLate = 1.05;
+
+} // namespace
+
+double EngineTimeline::toMs(TimePoint When) const {
+  return std::chrono::duration<double, std::milli>(When.time_since_epoch())
+      .count();
+}
+
+double EngineTimeline::latenessOf(double AtMs, double LimitMs) {
+  if (LimitMs <= 0)
+    return 0;
+  return std::clamp((AtMs / LimitMs - SurelyOnTime) /
+                        (SurelyLate - SurelyOnTime),
+                    0.0, 1.0);
+}
+
+double EngineTimeline::prefillCost(const Running &Entry, double Begin,
+                                   double End) const {
+  const double Whole = Entry.Job.WholePromptTokens;
+  if (Whole <= Entry.Job.PromptTokens)
+    return prefillMs(Spec_, Begin, End);
+  // A part has its share of the pairs of the whole prompt.
+  return (End - Begin) / Whole * prefillMs(Spec_, 0, Whole);
+}
+
+double EngineTimeline::runPass(std::vector<Running> &Jobs, double Begin,
+                               std::uint64_t Watched, double *WatchedFirstAt,
+                               double *Loss) const {
+  int Admitted = 0;
+  int Decoding = 0;
+  double Context = 0;
+  double Memory = 0;
+  for (const Running &Entry : Jobs)
+    if (Entry.Decoding) {
+      ++Decoding;
+      Context += Entry.Job.PromptTokens + Entry.Produced;
+      Memory += Entry.Job.MemoryTokens;
+    }
+  Admitted = Decoding;
+  const int Steps = Decoding > 0 ? Spec_.StepsPerPass : 1;
+  double Duration = 0;
+  if (Decoding > 0)
+    Duration = Steps * (Spec_.StepMs + Decoding * Spec_.StepPerRequestMs +
+                        Context / 1000 * Spec_.StepPerThousandContextMs);
+  double Budget = Steps * Spec_.PrefillTokensPerStep;
+  bool Prefills = false;
+  std::vector<std::size_t> Finished;
+  for (std::size_t Index = 0; Index < Jobs.size() && Budget > 0; ++Index) {
+    Running &Entry = Jobs[Index];
+    if (Entry.Decoding || Entry.ArrivesAt > Begin)
+      continue;
+    const bool IsPart = Entry.Job.OutputTokens <= 0;
+    if (!IsPart) {
+      const bool Fits = Spec_.MemoryTokens <= 0 ||
+                        Memory + Entry.Job.MemoryTokens <= Spec_.MemoryTokens;
+      if (Admitted >= Spec_.Slots || !Fits)
+        break;
+      ++Admitted;
+      Memory += Entry.Job.MemoryTokens;
+    }
+    const double Tokens =
+        std::min(Budget, Entry.Job.PromptTokens - Entry.Prefilled);
+    Duration += prefillCost(Entry, Entry.Prefilled, Entry.Prefilled + Tokens);
+    Entry.Prefilled += Tokens;
+    Budget -= Tokens;
+    Prefills = true;
+    if (Entry.Prefilled >= Entry.Job.PromptTokens)
+      Finished.push_back(Index);
+  }
+  if (Decoding == 0 && !Prefills)
+    return Begin;
+  if (Decoding == 0)
+    Duration += Spec_.StepMs;
+  const double End = Begin + Duration * Pace_;
+  for (Running &Entry : Jobs) {
+    if (!Entry.Decoding)
+      continue;
+    if (Loss && !Entry.Late)
+      *Loss += Entry.Job.Goal.LateLoss *
+               latenessOf(End - Entry.LastEventAt, Entry.Job.Goal.PauseMs);
+    Entry.Late = Entry.Late || (Entry.Job.Goal.PauseMs > 0 &&
+                                End - Entry.LastEventAt >
+                                    Entry.Job.Goal.PauseMs * SurelyLate);
+    Entry.LastEventAt = End;
+    Entry.Produced += Steps;
+  }
+  for (const std::size_t Index : Finished) {
+    Running &Entry = Jobs[Index];
+    Entry.Decoding = true;
+    Entry.LastEventAt = End;
+    if (Entry.Job.Id == Watched && WatchedFirstAt)
+      *WatchedFirstAt = End;
+    const double Limit = toMs(Entry.Job.Goal.FirstTokenBy) - Entry.ArrivesAt;
+    if (Loss && !Entry.Late && Entry.Job.Goal.LateLoss > 0)
+      *Loss += Entry.Job.Goal.LateLoss *
+               latenessOf(End - Entry.ArrivesAt, std::max(Limit, 1.0));
+  }
+  std::erase_if(Jobs, [](const Running &Entry) {
+    return Entry.Decoding && Entry.Produced >= Entry.Job.OutputTokens;
+  });
+  return End;
+}
+
+void EngineTimeline::advance(TimePoint Now) {
+  const double NowMs = toMs(Now);
+  if (Jobs_.empty()) {
+    PassEndsAt_ = std::max(PassEndsAt_, NowMs);
+    return;
+  }
+  while (PassEndsAt_ <= NowMs && !Jobs_.empty()) {
+    const double End = runPass(Jobs_, PassEndsAt_, 0, nullptr, nullptr);
+    BaselineLoss_ = -1;
+    if (End == PassEndsAt_) {
+      // Nothing runs before the next arrival.
+      double Next = NowMs;
+      for (const Running &Entry : Jobs_)
+        if (Entry.ArrivesAt > PassEndsAt_)
+          Next = std::min(Next, Entry.ArrivesAt);
+      if (Next <= PassEndsAt_)
+        break;
+      PassEndsAt_ = Next;
+      continue;
+    }
+    PassEndsAt_ = End;
+  }
+}
+
+void EngineTimeline::add(const EngineJob &Job, TimePoint Now,
+                         double TransitMs) {
+  advance(Now);
+  Running Entry;
+  Entry.Job = Job;
+  Entry.ArrivesAt = toMs(Now) + TransitMs;
+  if (Jobs_.empty())
+    PassEndsAt_ = std::max(PassEndsAt_, Entry.ArrivesAt);
+  // Parts for other engines are read ahead of other prompts.
+  if (Job.OutputTokens <= 0) {
+    const auto Place = std::find_if(
+        Jobs_.begin(), Jobs_.end(), [](const Running &Other) {
+          return !Other.Decoding && Other.Job.OutputTokens > 0;
+        });
+    Jobs_.insert(Place, Entry);
+  } else {
+    Jobs_.push_back(Entry);
+  }
+  BaselineLoss_ = -1;
+}
+
+void EngineTimeline::remove(std::uint64_t Id, TimePoint Now) {
+  advance(Now);
+  std::erase_if(Jobs_,
+                [Id](const Running &Entry) { return Entry.Job.Id == Id; });
+  BaselineLoss_ = -1;
+}
+
+void EngineTimeline::markFirstToken(std::uint64_t Id, TimePoint Now) {
+  advance(Now);
+  for (Running &Entry : Jobs_)
+    if (Entry.Job.Id == Id && !Entry.Decoding) {
+      Entry.Decoding = true;
+      Entry.Prefilled = Entry.Job.PromptTokens;
+      Entry.LastEventAt = toMs(Now);
+      BaselineLoss_ = -1;
+    }
+}
+
+double EngineTimeline::lossUntilDrained(std::vector<Running> Jobs,
+                                        double Begin, std::uint64_t Watched,
+                                        double *FirstAt) const {
+  double Loss = 0;
+  double At = Begin;
+  double StopAt = -1;
+  for (int Pass = 0; Pass < MaxForecastPasses; ++Pass) {
+    if (FirstAt && *FirstAt >= 0 && StopAt < 0)
+      StopAt = *FirstAt + ForecastTailMs;
+    if (StopAt >= 0 && At > StopAt)
+      break;
+    const bool Waiting =
+        std::any_of(Jobs.begin(), Jobs.end(),
+                    [](const Running &Entry) { return !Entry.Decoding; });
+    if (!Waiting)
+      break;
+    const double End = runPass(Jobs, At, Watched, FirstAt, &Loss);
+    if (End == At) {
+      double Next = -1;
+      for (const Running &Entry : Jobs)
+        if (!Entry.Decoding && Entry.ArrivesAt > At &&
+            (Next < 0 || Entry.ArrivesAt < Next))
+          Next = Entry.ArrivesAt;
+      if (Next < 0)
+        break; // a prompt that does not fit
+      At = Next;
+      continue;
+    }
+    At = End;
+  }
+  return Loss;
+}
+
+Forecast EngineTimeline::forecast(const EngineJob &Job, TimePoint Now,
+                                  double TransitMs) {
+  advance(Now);
+  const double NowMs = toMs(Now);
+  const double Begin = std::max(PassEndsAt_, NowMs);
+  if (BaselineLoss_ < 0)
+    BaselineLoss_ = lossUntilDrained(Jobs_, Begin, 0, nullptr);
+  std::vector<Running> With = Jobs_;
+  Running Entry;
+  Entry.Job = Job;
+  Entry.Job.Goal.LateLoss = 0; // the caller weighs the new job itself
+  Entry.ArrivesAt = NowMs + TransitMs;
+  if (Job.OutputTokens <= 0)
+    With.insert(std::find_if(With.begin(), With.end(),
+                             [](const Running &Other) {
+                               return !Other.Decoding &&
+                                      Other.Job.OutputTokens > 0;
+                             }),
+                Entry);
+  else
+    With.push_back(Entry);
+  double FirstAt = -1;
+  const double Loss = lossUntilDrained(std::move(With), Begin, Job.Id, &FirstAt);
+  Forecast Result;
+  Result.FirstTokenMs = FirstAt < 0 ? 1e9 : FirstAt - NowMs;
+  Result.LossToOthers = std::max(0.0, Loss - BaselineLoss_);
+  return Result;
+}
+
+bool EngineTimeline::holds(std::uint64_t Id) const {
+  return std::any_of(Jobs_.begin(), Jobs_.end(), [Id](const Running &Entry) {
+    return Entry.Job.Id == Id;
+  });
+}
+
+double EngineTimeline::memoryInUse() const {
+  double Sum = 0;
+  for (const Running &Entry : Jobs_)
+    Sum += Entry.Job.MemoryTokens;
+  return Sum;
+}
+
+int EngineTimeline::jobsWithPauseBelow(double PauseMs) const {
+  return static_cast<int>(
+      std::count_if(Jobs_.begin(), Jobs_.end(), [PauseMs](const Running &Entry) {
+        return Entry.Job.Goal.PauseMs > 0 && Entry.Job.Goal.PauseMs < PauseMs;
+      }));
+}
+
+} // namespace cassiashed::engine
--- /dev/null
+++ b/src/gateway/gateway_metrics.cpp
@@ -0,0 +1,105 @@
+#include "gateway/gateway_metrics.h"
+
+#include <cmath>
+#include <map>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+#include <set>
+#include <sstream>
+
+namespace cassiashed::gateway {
+namespace {
+
+/// prometheus-cpp keeps every label set for the life of the process, so only
+/// the first workspaces get a histogram of their own.
+constexpr std::size_t MaxWorkspaces = 20;
+
+const prometheus::Histogram::BucketBoundaries FirstByteMs = {
+    10, 25, 50, 100, 150, 200, 300, 500, 1000, 1500, 3000, 6000, 15000};
+const prometheus::Histogram::BucketBoundaries ErrorRatios = {
+    0.02, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2};
+
+class Metrics final : public GatewayMetrics {
+public:
+  void countOutcome(std::string_view Kind, std::string_view Outcome) override {
+    Outcomes_
+        .Add({{"kind", std::string(Kind)}, {"outcome", std::string(Outcome)}})
+        .Increment();
+  }
+  void countAttempt(std::string_view Result) override {
+    Attempts_.Add({{"result", std::string(Result)}}).Increment();
+  }
+  void observeFirstByte(std::string_view Kind, std::string_view Workspace,
+                        Duration Delay) override {
+    std::string Label(Workspace);
+    if (Workspaces_.count(Label) == 0) {
+      if (Workspaces_.size() < MaxWorkspaces)
+        Workspaces_.insert(Label);
+      else
+        Label = "other";
+    }
+    FirstBytes_
+        .Add({{"kind", std::string(Kind)}, {"workspace", Label}}, FirstByteMs)
+        .Observe(static_cast<double>(Delay.count()));
+  }
+  void observePrediction(double PredictedMs, double SeenMs) override {
+    if (SeenMs > 0)
+      PredictionErrors_.Observe(std::abs(PredictedMs - SeenMs) / SeenMs);
+  }
+  void setGauge(std::string_view Name, double Value) override {
+    const auto Found = Gauges_.find(Name);
+    if (Found != Gauges_.end()) {
+      Found->second->Set(Value);
+      return;
+    }
+    prometheus::Gauge &Gauge = prometheus::BuildGauge()
+                                   .Name("cassiashed_" + std::string(Name))
+                                   .Help("State of the gateway")
+                                   .Register(Registry_)
+                                   .Add({});
+    Gauges_.emplace(std::string(Name), &Gauge);
+    Gauge.Set(Value);
+  }
+  std::string format() const override {
+    std::ostringstream Out;
+    prometheus::TextSerializer().Serialize(Out, Registry_.Collect());
+    return Out.str();
+  }
+
+private:
+  prometheus::Registry Registry_;
+  prometheus::Family<prometheus::Counter> &Outcomes_ =
+      prometheus::BuildCounter()
+          .Name("cassiashed_requests_total")
+          .Help("Requests by kind and outcome")
+          .Register(Registry_);
+  prometheus::Family<prometheus::Counter> &Attempts_ =
+      prometheus::BuildCounter()
+          .Name("cassiashed_attempts_total")
+          .Help("Attempts at endpoints by result")
+          .Register(Registry_);
+  prometheus::Family<prometheus::Histogram> &FirstBytes_ =
+      prometheus::BuildHistogram()
+          .Name("cassiashed_first_byte_milliseconds")
+          .Help("From the arrival of a request to the first byte or event")
+          .Register(Registry_);
+  prometheus::Histogram &PredictionErrors_ =
+      prometheus::BuildHistogram()
+          .Name("cassiashed_first_token_prediction_error_ratio")
+          .Help("Relative error of the predicted time to the first token")
+          .Register(Registry_)
+          .Add({}, ErrorRatios);
+  std::map<std::string, prometheus::Gauge *, std::less<>> Gauges_;
+  std::set<std::string> Workspaces_;
+};
+
+} // namespace
+
+std::unique_ptr<GatewayMetrics> makeGatewayMetrics() {
+  return std::make_unique<Metrics>();
+}
+
+} // namespace cassiashed::gateway
--- /dev/null
+++ b/src/gateway/gateway_state.cpp
@@ -0,0 +1,70 @@
+#include "gateway/gateway_state.h"
+
+#include <algorithm>
+
+namespace cassiashed::gateway {
+namespace {
+
+/// A broken connection and the end of its endpoint belong together within the
+/// time in which a silent endpoint loses its registration.
+constexpr Duration CrashWindow{6000};
+/// Nodes that join before this one hears of them are covered by this factor.
+constexpr double JoiningNodes = 1.25;
+
+balancing::ColdShareOptions coldOptions(const GatewayBounds &Bounds) {
+  return {Bounds.ColdOverage, Bounds.ColdSlack};
+}
+
+balancing::RetryShareOptions retryOptions(const GatewayBounds &Bounds) {
+  return {Bounds.RetryWindow, Bounds.RetryRatio, Bounds.RetrySlack};
+}
+
+balancing::DispatcherOptions dispatcherOptions(const GatewaySettings &From) {
+  balancing::DispatcherOptions Result;
+  Result.Zone = From.Gateway.Zone;
+  Result.RegionOfZone = From.Cluster.RegionOfZone;
+  return Result;
+}
+
+} // namespace
+
+GatewayState::GatewayState(asio::io_context &Context,
+                           const GatewaySettings &Settings,
+                           const Dialect &Protocol)
+    : Context(Context), Settings(Settings), Protocol(Protocol),
+      Random(std::random_device{}()), Cold(coldOptions(Settings.Bounds)),
+      Retries(retryOptions(Settings.Bounds)),
+      Dispatcher(Directory, Load, Health, Cold, dispatcherOptions(Settings)),
+      Pool(Context), Metrics(makeGatewayMetrics()), NextWorkId(Random()) {}
+
+int GatewayState::sharingNodes() const {
+  const int Possible = Nodes ? Nodes->possibleNodes() : 1;
+  return static_cast<int>(Possible * JoiningNodes) + 1;
+}
+
+void GatewayState::applyBounds() {
+  Cold.setOptions(coldOptions(Settings.Bounds));
+  Retries.setOptions(retryOptions(Settings.Bounds));
+}
+
+void GatewayState::confirmCrashes(const catalog::KnownEndpoint &Ended) {
+  const TimePoint Now = now();
+  std::erase_if(BrokenRuns, [&](const BrokenRun &Run) {
+    if (Now - Run.At > CrashWindow)
+      return true;
+    if (Run.Endpoint->Number != Ended.Number)
+      return false;
+    if (Crashes.noteCrash(Run.Content, Ended.Entry.Id, Now)) {
+      Log.write("content_crashed_endpoint", Now, [&](LogLine &Line) {
+        Line.field("content", Run.Content)
+            .field("endpoint", Ended.Entry.Id)
+            .field("crashes", Crashes.crashCount(Run.Content));
+      });
+      if (Nodes)
+        Nodes->announceCrash({Run.Content, Ended.Entry.Id});
+    }
+    return true;
+  });
+}
+
+} // namespace cassiashed::gateway
--- /dev/null
+++ b/src/gateway/gateway_state.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "cassiashed/balancing/crash_history.h"
+#include "cassiashed/balancing/dispatcher.h"
+#include "cassiashed/balancing/retry_share.h"
+#include "cassiashed/config/gateway_settings.h"
+#include "gateway/decision_log.h"
+#include "gateway/dialect.h"
+#include "gateway/endpoint_pool.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/node_network.h"
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace cassiashed::gateway {
+
+/// A content that was running on an endpoint when its connection broke. It
+/// counts as a crash if the endpoint turns out to have ended.
+struct BrokenRun {
+  std::uint64_t Content = 0;
+  catalog::EndpointRef Endpoint;
+  TimePoint At;
+};
+
+/// What all requests of a process share. A gateway runs on one thread: its
+/// hosts have a fraction of one core, so workers would only add switches and
+/// locks. Nothing here is thread-safe.
+struct GatewayState {
+  GatewayState(asio::io_context &Context, const GatewaySettings &Settings,
+               const Dialect &Protocol);
+
+  asio::io_context &Context;
+  GatewaySettings Settings;
+  const Dialect &Protocol;
+  std::mt19937_64 Random;
+  /// The configuration in force; null until the first one was read. Requests
+  /// keep the one that they began with.
+  std::shared_ptr<const catalog::ServiceConfig> Config;
+  catalog::EndpointDirectory Directory;
+  balancing::FleetLoad Load;
+  balancing::EndpointHealth Health;
+  balancing::ColdShare Cold;
+  balancing::RetryShare Retries;
+  balancing::CrashHistory Crashes;
+  balancing::Dispatcher Dispatcher;
+  EndpointPool Pool;
+  std::unique_ptr<NodeNetwork> Nodes;
+  std::unique_ptr<GatewayMetrics> Metrics;
+  DecisionLog Log;
+  std::vector<BrokenRun> BrokenRuns;
+  std::uint64_t NextWorkId = 0;
+  std::size_t ActiveRequests = 0;
+  bool Stopping = false;
+
+  TimePoint now() const { return std::chrono::steady_clock::now(); }
+  /// Nodes among which limits are shared, at least one.
+  int sharingNodes() const;
+  /// Puts changed bounds of the settings into effect.
+  void applyBounds();
+  /// Confirms the broken runs of an endpoint that has ended as crashes.
+  void confirmCrashes(const catalog::KnownEndpoint &Ended);
+};
+
+} // namespace cassiashed::gateway
--- /dev/null
+++ b/src/gateway/http_wire.cpp
@@ -0,0 +1,100 @@
+#include "gateway/http_wire.h"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace cassiashed::gateway {
+namespace {
+
+void appendFields(std::string &Text, const http::Headers &Fields) {
+  for (const http::Header &Field : Fields) {
+    Text += Field.first;
+    Text += ": ";
+    Text += Field.second;
+    Text += "\r\n";
+  }
+}
+
+void setOption(int Socket, int Level, int Name, int Value) {
+  // Best effort: without it a dead peer is found by the request's time limit.
+  (void)::setsockopt(Socket, Level, Name, &Value, sizeof(Value));
+}
+
+} // namespace
+
+bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
+  return Left.size() == Right.size() &&
+         std::equal(Left.begin(), Left.end(), Right.begin(),
+                    [](char First, char Second) {
+                      return std::tolower(static_cast<unsigned char>(First)) ==
+                             std::tolower(static_cast<unsigned char>(Second));
+                    });
+}
+
+bool isConnectionField(std::string_view Name) {
+  static constexpr std::array<std::string_view, 10> Names = {
+      "Connection",       "Keep-Alive", "Proxy-Connection",
+      "Proxy-Authenticate", "Proxy-Authorization", "TE",
+      "Trailer",          "Transfer-Encoding", "Upgrade",
+      "Content-Length"};
+  return std::any_of(Names.begin(), Names.end(), [Name](std::string_view Each) {
+    return equalsIgnoringCase(Each, Name);
+  });
+}
+
+std::string formatRequestHead(std::string_view Method, std::string_view Target,
+                              const http::Headers &Fields,
+                              std::size_t BodyBytes, bool HasBody) {
+  std::string Text;
+  Text.reserve(512);
+  Text.append(Method).append(" ").append(Target).append(" HTTP/1.1\r\n");
+  appendFields(Text, Fields);
+  if (HasBody)
+    Text += fmt::format("Content-Length: {}\r\n", BodyBytes);
+  Text += "\r\n";
+  return Text;
+}
+
+std::string formatAnswerHead(const AnswerHead &Head) {
+  std::string Text;
+  Text.reserve(512);
+  std::string Reason = Head.Reason;
+  if (Reason.empty()) {
+    const auto Standard =
+        bhttp::obsolete_reason(static_cast<bhttp::status>(Head.Status));
+    Reason.assign(Standard.data(), Standard.size());
+  }
+  Text += fmt::format("HTTP/1.1 {} {}\r\n", Head.Status, Reason);
+  appendFields(Text, Head.Fields);
+  if (Head.HasBody && Head.Body == Framing::Length)
+    Text += fmt::format("Content-Length: {}\r\n", Head.Length);
+  else if (Head.HasBody && Head.Body == Framing::Chunked)
+    Text += "Transfer-Encoding: chunked\r\n";
+  if (!Head.KeepAlive)
+    Text += "Connection: close\r\n";
+  Text += "\r\n";
+  return Text;
+}
+
+std::string formatChunk(std::string_view Bytes) {
+  std::string Text = fmt::format("{:x}\r\n", Bytes.size());
+  Text.append(Bytes);
+  Text += "\r\n";
+  return Text;
+}
+
+void detectDeadPeer(Tcp::socket &Socket, std::chrono::seconds Limit) {
+  const int Handle = Socket.native_handle();
+  const int Seconds = static_cast<int>(Limit.count());
+  setOption(Handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPIDLE, 1);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, std::max(1, Seconds - 1));
+  setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, Seconds * 1000);
+}
+
+} // namespace cassiashed::gateway
--- /dev/null
+++ b/src/gateway/node_messages.cpp
@@ -0,0 +1,65 @@
+#include "gateway/node_messages.h"
+
+namespace cassiashed::gateway {
+
+WorkStarted describeWork(const balancing::Assignment &Work) {
+  WorkStarted Message;
+  Message.Id = Work.Request.Id;
+  Message.PromptTokens = Work.Request.PromptTokens;
+  Message.OutputTokens = Work.Request.OutputTokens;
+  Message.FirstTokenMs = Work.Request.FirstTokenMs;
+  Message.DeadlineMs = Work.Request.DeadlineMs;
+  Message.PauseMs = Work.Request.PauseMs;
+  Message.Value = Work.Request.Value;
+  for (const balancing::AssignedPart &Each : Work.Parts)
+    Message.Parts.push_back(
+        {Each.EndpointId, Each.Part.PromptTokens, Each.Part.MemoryTokens});
+  return Message;
+}
+
+balancing::Assignment toAssignment(const WorkStarted &Message,
+                                   std::uint32_t Origin) {
+  balancing::Assignment Work;
+  Work.Origin = Origin;
+  Work.Request.Id = Message.Id;
+  Work.Request.PromptTokens = Message.PromptTokens;
+  Work.Request.OutputTokens = Message.OutputTokens;
+  Work.Request.FirstTokenMs = Message.FirstTokenMs;
+  Work.Request.DeadlineMs = Message.DeadlineMs;
+  Work.Request.PauseMs = Message.PauseMs;
+  Work.Request.Value = Message.Value;
+  for (const WorkPart &Each : Message.Parts) {
+    balancing::AssignedPart Part;
+    Part.EndpointId = Each.EndpointId;
+    Part.Part.PromptTokens = Each.PromptTokens;
+    Part.Part.MemoryTokens = Each.MemoryTokens;
+    Work.Parts.push_back(std::move(Part));
+  }
+  return Work;
+}
+
+std::string packMessage(const NodeMessage &Message) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Message);
+  return std::string(Buffer.data(), Buffer.size());
+}
+
+std::optional<NodeMessage> unpackMessage(std::string_view Bytes,
+                                         std::string &Reason) {
+  try {
+    const msgpack::object_handle Handle =
+        msgpack::unpack(Bytes.data(), Bytes.size());
+    NodeMessage Message;
+    Handle.get().convert(Message);
+    if (Message.Format == NodeMessageFormat)
+      return Message;
+    Reason = "format " + std::to_string(Message.Format) + " is not supported";
+  } catch (const msgpack::unpack_error &Failure) {
+    Reason = Failure.what();
+  } catch (const msgpack::type_error &Failure) {
+    Reason = Failure.what();
+  }
+  return std::nullopt;
+}
+
+} // namespace cassiashed::gateway
--- /dev/null
+++ b/src/gateway/node_messages.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "cassiashed/balancing/fleet_load.h"
+#include <cstdint>
+#include <msgpack.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Datagrams between gateways. All are hints: a lost one makes a prediction
+/// worse, never a request wrong.
+namespace cassiashed::gateway {
+
+/// Raised when a message changes its meaning; others are ignored.
+inline constexpr std::uint32_t NodeMessageFormat = 1;
+
+struct WorkPart {
+  std::string EndpointId;
+  double PromptTokens = 0;
+  double MemoryTokens = 0;
+  MSGPACK_DEFINE(EndpointId, PromptTokens, MemoryTokens)
+};
+
+/// A request that was sent to endpoints. Times are relative to its sending.
+struct WorkStarted {
+  std::uint64_t Id = 0;
+  double PromptTokens = 0;
+  double OutputTokens = 0;
+  double FirstTokenMs = 0;
+  double DeadlineMs = 0;
+  double PauseMs = 0;
+  double Value = 0;
+  std::vector<WorkPart> Parts;
+  MSGPACK_DEFINE(Id, PromptTokens, OutputTokens, FirstTokenMs, DeadlineMs,
+                 PauseMs, Value, Parts)
+};
+
+struct CrashNote {
+  std::uint64_t Content = 0;
+  std::string EndpointId;
+  MSGPACK_DEFINE(Content, EndpointId)
+};
+
+struct NodeMessage {
+  std::uint32_t Format = NodeMessageFormat;
+  std::string Node;
+  std::uint64_t Incarnation = 0;     ///< random, of the sender's process
+  std::uint64_t OperatorRow = 0;     ///< newest row of each table it holds
+  std::uint64_t EndpointRow = 0;
+  bool Stopping = false;
+  std::vector<WorkStarted> Started;
+  std::vector<std::uint64_t> FirstTokens;
+  std::vector<std::uint64_t> Finished;
+  std::vector<CrashNote> Crashes;
+  /// Addresses of nodes that the sender hears, for those that cannot read the
+  /// nodes' table.
+  std::vector<std::string> KnownNodes;
+  MSGPACK_DEFINE(Format, Node, Incarnation, OperatorRow, EndpointRow, Stopping,
+                 Started, FirstTokens, Finished, Crashes, KnownNodes)
+};
+
+WorkStarted describeWork(const balancing::Assignment &Work);
+balancing::Assignment toAssignment(const WorkStarted &Message,
+                                   std::uint32_t Origin);
+
+std::string packMessage(const NodeMessage &Message);
+/// Nothing and a reason for bytes that are no message of this format.
+std::optional<NodeMessage> unpackMessage(std::string_view Bytes,
+                                         std::string &Reason);
+
+} // namespace cassiashed::gateway
--- /dev/null
+++ b/src/gateway/node_network.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "cassiashed/balancing/fleet_load.h"
+#include "cassiashed/catalog/row_mirror.h"
+#include "gateway/node_messages.h"
+#include "http/message.h"
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace cassiashed::gateway {
+
+struct NodeNetworkOptions {
+  std::string Name;
+  std::uint64_t Incarnation = 0; ///< random, of this process
+  http::Address Internal;       ///< own address, UDP and TCP
+  std::vector<std::string> SeedHosts;
+};
+
+/// What arrives from other nodes.
+struct NodeNetworkEvents {
+  std::function<void(const balancing::Assignment &)> WorkStarted;
+  std::function<void(std::uint64_t Id)> FirstToken;
+  std::function<void(std::uint64_t Id)> WorkFinished;
+  std::function<void(const CrashNote &)> Crash;
+  /// A node was replaced or fell silent; its work ended or goes unreported.
+  std::function<void(std::uint32_t Origin)> NodeLost;
+  /// A node holds rows that this one has not seen yet.
+  std::function<void(catalog::Table, http::Address Peer)> NewerRows;
+};
+
+/// Datagrams between the gateways of a deployment.
+class NodeNetwork {
+public:
+  virtual ~NodeNetwork() = default;
+
+  /// A node named in the nodes' table.
+  virtual void addNode(const std::string &Name, const std::string &Host) = 0;
+  virtual void removeNode(const std::string &Name) = 0;
+  /// Newest rows that this node holds; sent with every message.
+  virtual void setRowVersions(std::uint64_t OperatorRow,
+                              std::uint64_t EndpointRow) = 0;
+  virtual void setStopping() = 0;
+
+  virtual void announceStart(const balancing::Assignment &Work) = 0;
+  virtual void announceFirstToken(std::uint64_t Id) = 0;
+  virtual void announceFinish(std::uint64_t Id) = 0;
+  virtual void announceCrash(const CrashNote &Note) = 0;
+
+  /// Nodes that may be running, this one included: known by name or heard.
+  virtual int possibleNodes() const = 0;
+  /// Nodes heard lately, this one included.
+  virtual int liveNodes() const = 0;
+};
+
+/// Returns null and sets `Reason` if the address cannot be used.
+std::unique_ptr<NodeNetwork> startNodeNetwork(boost::asio::io_context &Context,
+                                              NodeNetworkOptions Options,
+                                              NodeNetworkEvents Events,
+                                              std::string &Reason);
+
+} // namespace cassiashed::gateway
--- /dev/null
+++ b/src/gateway/row_follower.cpp
@@ -0,0 +1,166 @@
+#include "gateway/row_follower.h"
+
+#include "gateway/row_messages.h"
+#include "http/client.h"
+#include <array>
+
+namespace cassiashed::gateway {
+namespace {
+
+using catalog::Row;
+using catalog::RowMirror;
+using catalog::Table;
+
+/// How long the store holds a call open while nothing changes. Calls are
+/// priced; a connection that went silent is noticed after this time at the
+/// latest, and earlier through the versions that other nodes report.
+constexpr Duration FollowWait{10000};
+constexpr Duration FirstPause{100};
+constexpr Duration LongestPause{1500};
+constexpr Duration PeerReadLimit{1000};
+
+constexpr std::array<std::string_view, catalog::TableCount> TableNames = {
+    "operator", "endpoints", "nodes"};
+
+std::string_view nameOf(Table Which) {
+  return TableNames[static_cast<std::size_t>(Which)];
+}
+
+class Follower final : public RowFollower {
+public:
+  Follower(GatewayState &State, StoreClient &Store, OnRows Notify)
+      : State_(State), Store_(Store), Notify_(std::move(Notify)) {}
+
+  void start() {
+    for (int Index = 0; Index < catalog::TableCount; ++Index)
+      asio::co_spawn(State_.Context, follow(static_cast<Table>(Index)),
+                     asio::detached);
+  }
+
+  void fetchFrom(Table Which, http::Address Peer) override {
+    asio::co_spawn(State_.Context, fetch(Which, std::move(Peer)),
+                   asio::detached);
+  }
+
+  std::vector<Row> rowsAfter(Table Which, std::uint64_t After) const override {
+    return mirror(Which).changesAfter(After);
+  }
+  bool hasRead(Table Which) const override { return mirror(Which).size() > 0; }
+  bool storeAnswers() const override { return Answers_; }
+  TimePoint storeRegainedAt() const override { return RegainedAt_; }
+
+private:
+  RowMirror &mirror(Table Which) {
+    return Mirrors_[static_cast<std::size_t>(Which)];
+  }
+  const RowMirror &mirror(Table Which) const {
+    return Mirrors_[static_cast<std::size_t>(Which)];
+  }
+
+  http::Task<void> follow(Table Which) {
+    Duration Pause = FirstPause;
+    bool ReadAll = true;
+    while (true) {
+      StoreRows Result;
+      if (ReadAll)
+        Result = co_await Store_.readAll(Which);
+      else
+        Result = co_await Store_.waitForChanges(
+            Which, mirror(Which).version(), FollowWait);
+      noteAnswer(Which, Result);
+      if (Result.Status == StoreStatus::Ok) {
+        take(Which, Result, ReadAll);
+        ReadAll = false;
+        Pause = FirstPause;
+        continue;
+      }
+      if (Result.Status == StoreStatus::HistoryGone) {
+        ReadAll = true;
+        continue;
+      }
+      co_await http::sleepFor(Pause);
+      Pause = std::min(Pause * 2, LongestPause);
+    }
+  }
+
+  void take(Table Which, StoreRows &Result, bool ReadAll) {
+    const std::vector<Row> News =
+        ReadAll ? mirror(Which).replaceAll(std::move(Result.Rows),
+                                           Result.Version)
+                : mirror(Which).merge(std::move(Result.Rows), Result.Version);
+    report(Which, News, "store");
+  }
+
+  void report(Table Which, const std::vector<Row> &News,
+              std::string_view Source) {
+    if (News.empty())
+      return;
+    State_.Log.write("rows_read", State_.now(), [&](LogLine &Line) {
+      Line.field("table", nameOf(Which))
+          .field("rows", News.size())
+          .field("newest", mirror(Which).newestRow())
+          .field("source", Source);
+    });
+    Notify_(Which, News);
+  }
+
+  void noteAnswer(Table Which, const StoreRows &Result) {
+    const bool Answers = Result.Status == StoreStatus::Ok ||
+                         Result.Status == StoreStatus::HistoryGone;
+    if (Answers == Answers_)
+      return;
+    Answers_ = Answers;
+    if (Answers) {
+      RegainedAt_ = State_.now();
+      logEvent("store_regained").field("table", nameOf(Which));
+    } else {
+      logWarning("store_lost")
+          .field("table", nameOf(Which))
+          .field("reason", Result.Reason);
+    }
+  }
+
+  http::Task<void> fetch(Table Which, http::Address Peer) {
+    http::Request Call;
+    Call.Method = "GET";
+    Call.Target = "/rows/" + std::string(nameOf(Which)) + "?after=" +
+                  std::to_string(mirror(Which).newestRow());
+    const std::string From = Peer.Host;
+    std::optional<http::Response> Reply =
+        co_await http::fetch(std::move(Peer), Call, PeerReadLimit);
+    std::string Reason = "no answer";
+    std::optional<std::vector<Row>> Rows;
+    if (Reply && Reply->Status == 200)
+      Rows = unpackRows(Reply->Body, Reason);
+    if (!Rows) {
+      logWarning("peer_rows_failed")
+          .field("peer", From)
+          .field("table", nameOf(Which))
+          .field("reason", Reason);
+      co_return;
+    }
+    // The store's own version is not advanced: its feed repeats these rows,
+    // which are then known.
+    const std::vector<Row> News = mirror(Which).merge(std::move(*Rows), 0);
+    report(Which, News, From);
+  }
+
+  GatewayState &State_;
+  StoreClient &Store_;
+  OnRows Notify_;
+  std::array<RowMirror, catalog::TableCount> Mirrors_;
+  bool Answers_ = true;
+  TimePoint RegainedAt_;
+};
+
+} // namespace
+
+std::unique_ptr<RowFollower> startRowFollower(GatewayState &State,
+                                              StoreClient &Store,
+                                              RowFollower::OnRows Notify) {
+  auto Result = std::make_unique<Follower>(State, Store, std::move(Notify));
+  Result->start();
+  return Result;
+}
+
+} // namespace cassiashed::gateway
--- /dev/null
+++ b/src/gateway/row_follower.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "gateway/gateway_state.h"
+#include "gateway/store_client.h"
+#include <functional>
+#include <memory>
+
+namespace cassiashed::gateway {
+
+/// Keeps copies of the store's tables up to date: from the store while it
+/// answers, from other nodes when they hold newer rows.
+class RowFollower {
+public:
+  using OnRows = std::function<void(catalog::Table, const std::vector<catalog::Row> &)>;
+
+  virtual ~RowFollower() = default;
+  /// Reads the newer rows of a table from another node.
+  virtual void fetchFrom(catalog::Table Which, http::Address Peer) = 0;
+  /// Rows of a table newer than `After`, for other nodes.
+  virtual std::vector<catalog::Row> rowsAfter(catalog::Table Which,
+                                              std::uint64_t After) const = 0;
+  /// Whether the table was read at least once.
+  virtual bool hasRead(catalog::Table Which) const = 0;
+  /// Whether the store answered the last call for the table.
+  virtual bool storeAnswers() const = 0;
+  /// When the store last answered after a time without answers.
+  virtual TimePoint storeRegainedAt() const = 0;
+};
+
+std::unique_ptr<RowFollower> startRowFollower(GatewayState &State,
+                                              StoreClient &Store,
+                                              RowFollower::OnRows Notify);
+
+} // namespace cassiashed::gateway
--- a/src/node/call_table.h
+++ b/src/node/call_table.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cassiashed/calls/call_batcher.h"
-#include "cassiashed/platform/table_service.h"
+#include "cassiashed/store/table_service.h"
 #include "http/asio.h"
 #include <boost/asio/thread_pool.hpp>
 #include <functional>
--- a/src/node/config_service.cpp
+++ b/src/node/config_service.cpp
@@ -3,7 +3,7 @@
 #include "cassiashed/base/event_log.h"
 #include "cassiashed/base/hash.h"
 #include "cassiashed/base/invariant.h"
-#include "cassiashed/platform/config_store.h"
+#include "cassiashed/store/config_store.h"
 #include "cassiashed/wire/config_messages.h"
 #include "node/one_shot.h"
 #include <algorithm>
--- a/src/node/config_service.h
+++ b/src/node/config_service.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cassiashed/platform/platform_client.h"
+#include "cassiashed/store/platform_client.h"
 #include "cassiashed/transport/peer_transport.h"
 #include "http/asio.h"
 #include "node/config_table.h"
--- a/src/node/ownership_service.h
+++ b/src/node/ownership_service.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cassiashed/membership/ownership.h"
-#include "cassiashed/platform/platform_client.h"
+#include "cassiashed/store/platform_client.h"
 #include "cassiashed/transport/peer_transport.h"
 #include "http/asio.h"
 #include "node/config_table.h"
--- a/src/node/recorded_call.h
+++ b/src/node/recorded_call.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cassiashed/calls/call_recorder.h"
-#include "cassiashed/platform/object_store.h"
+#include "cassiashed/store/object_store.h"
 #include "node/call_table.h"
 #include "node/service_caller.h"
 #include "node/service_sender.h"
--- a/src/platform/config_store.cpp
+++ b/src/store/config_store.cpp
@@ -1,4 +1,4 @@
-#include "cassiashed/platform/config_store.h"
+#include "cassiashed/store/config_store.h"
 
 #include "cassiashed/base/hash.h"
 #include "cassiashed/text/json.h"
--- a/src/platform/config_store_test.cpp
+++ b/src/store/config_store_test.cpp
@@ -1,6 +1,6 @@
-#include "cassiashed/platform/config_store.h"
+#include "cassiashed/store/config_store.h"
 
-#include "platform/fake_platform_test.h"
+#include "store/fake_platform_test.h"
 #include <doctest/doctest.h>
 #include <thread>
 
--- a/src/platform/fake_platform_test.h
+++ b/src/store/fake_platform_test.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "cassiashed/platform/object_store.h"
-#include "cassiashed/platform/table_service.h"
+#include "cassiashed/store/object_store.h"
+#include "cassiashed/store/table_service.h"
 #include <functional>
 #include <map>
 #include <mutex>
--- a/src/platform/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_pool.h"
+#include "store/http_pool.h"
 
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/request.h>
--- a/src/platform/http_pool.h
+++ b/src/store/http_pool.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cassiashed/platform/platform_client.h"
+#include "cassiashed/store/platform_client.h"
 #include <memory>
 #include <mutex>
 #include <optional>
--- a/src/platform/platform_client.cpp
+++ b/src/store/platform_client.cpp
@@ -1,7 +1,7 @@
-#include "cassiashed/platform/platform_client.h"
+#include "cassiashed/store/platform_client.h"
 
 #include "cassiashed/text/json.h"
-#include "platform/http_pool.h"
+#include "store/http_pool.h"
 #include <map>
 
 namespace cassiashed {
--- a/src/platform/platform_client_test.cpp
+++ b/src/store/platform_client_test.cpp
@@ -1,4 +1,4 @@
-#include "cassiashed/platform/platform_client.h"
+#include "cassiashed/store/platform_client.h"
 
 #include "cassiashed/text/json.h"
 #include <arpa/inet.h>
