--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cassiashed/base/clock.h"
 #include "cassiashed/catalog/row_mirror.h"
 #include "http/asio.h"
 #include <memory>
