State the limit of an endpoint's answer explicitly

Cause: Beast 1.74 takes an absent body limit for one of 0 when an answer states its length; every such answer failed (log: cause="body limit exceeded"). Ruled out: framing without a length, resets by the replica. Change: the largest limit is set. attempt_ended logs the cause.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -4,6 +4,7 @@
 #include "gateway/event_assembler.h"
 #include "gateway/reservations.h"
 #include <array>
+#include <limits>
 #include <boost/asio/write.hpp>
 
 namespace cassiashed::gateway {
@@ -151,6 +152,7 @@
   TimePoint ArmedFor_ = TimePoint::max();
   Ending Ending_ = Ending::None;
   bool Silent_ = false;
+  std::string Cause_; ///< why the last attempt broke
   EndpointLink *Current_ = nullptr;
 
   std::shared_ptr<Reservations> Reservations_;
@@ -489,6 +491,7 @@
   }
   Current_ = Link.get();
   Silent_ = false;
+  Cause_.clear();
   FirstByteSeen_ = false;
   const auto Sending = std::make_shared<PendingWrite>();
   Sending->Head = formatForward(Chosen);
@@ -516,7 +519,8 @@
         .field("attempt", Sends_)
         .field("endpoint", Peer->Entry.Id)
         .field("result", nameOf(End))
-        .field("silent", Silent_);
+        .field("silent", Silent_)
+        .field("cause", Cause_);
   });
   co_return End;
 }
@@ -540,13 +544,15 @@
   for (int Skipped = 0; !Matches && Skipped <= MaxForeignAnswers; ++Skipped) {
     Parser.emplace();
     Parser->header_limit(EndpointHeadBytes);
-    Parser->body_limit(boost::none);
+    // Boost 1.74 takes an absent limit for one of 0 when a length is stated.
+    Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     if (Request_.Method == "HEAD")
       Parser->skip(true);
     Code Failure;
     co_await bhttp::async_read_header(Link->Socket, Link->Buffer, *Parser,
                                       intoCode(Failure));
     if (Failure) {
+      Cause_ = Failure.message();
       noteBroken(Peer);
       MayHaveRun_ = true;
       co_return AttemptEnd::Failed;
@@ -570,6 +576,7 @@
     }
   }
   if (!Matches) {
+    Cause_ = "answers to other requests";
     MayHaveRun_ = true;
     co_return AttemptEnd::Failed;
   }
@@ -592,7 +599,7 @@
   MayHaveRun_ = true;
   const bool Success = Status >= 200 && Status < 300;
   if (Success && !Answer.Signed) {
-    // Not an answer of this service's replica.
+    Cause_ = "success without a signature";
     State_.Health.note(Peer->Number, EndpointOutcome::Broken, State_.now());
     co_return AttemptEnd::Failed;
   }
@@ -663,6 +670,7 @@
     co_await bhttp::async_read_some(Link.Socket, Link.Buffer, Parser,
                                     intoCode(Failure));
     if (Failure && Failure != bhttp::error::need_buffer) {
+      Cause_ = Failure.message();
       Piece.clear();
       co_return false;
     }
