Refuse what cannot end before a stopping process is killed

Ruled out: idle connections, which were closed at 3 s. Change: mayStartWhileStopping compares the request's duration, by its most output tokens, with what is left of the grace period; else 503 at once with Retry-After 0. Test: stop_window_test.

--- /dev/null
+++ b/src/balancing/stop_window_test.cpp
@@ -0,0 +1,20 @@
+#include "cassiashed/balancing/stop_window.h"
+
+#include <doctest/doctest.h>
+
+using namespace cassiashed;
+using namespace cassiashed::balancing;
+
+// Guards against streams that are taken late in a stop and cut by the kill.
+TEST_CASE("a stopping node refuses what cannot end before the kill") {
+  engine::EngineSpec Spec;
+  Spec.StepMs = 1.02;
+  Spec.PrefillTokensPerMs = 206;
+  const Duration Grace(8000);
+  const Duration Short = expectedDuration(Spec, 5000, 1300);
+  CHECK(Short > Duration(1500));
+  CHECK(mayStartWhileStopping(Short, Duration(1000), Grace));
+  CHECK_FALSE(mayStartWhileStopping(Short, Duration(5000), Grace));
+  CHECK(mayStartWhileStopping(Duration(100), Duration(5000), Grace));
+  CHECK_FALSE(mayStartWhileStopping(Duration(100), Duration(7000), Grace));
+}
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange.h"
 
+#include "cassiashed/balancing/stop_window.h"
 #include "cassiashed/base/hash.h"
 #include "gateway/event_assembler.h"
 #include "gateway/reservations.h"
@@ -97,6 +98,8 @@
   /// Returns the status to refuse with, or 0.
   int resolve(std::string &Reason);
   void prepareWork();
+  /// Whether the process stops before the request could end.
+  bool isTooLateToStart() const;
   std::string chooseService();
 
   // Time limits and the caller's end.
@@ -245,6 +248,21 @@
       TokensPerValue;
 }
 
+bool Exchange::isTooLateToStart() const {
+  if (!State_.Stopping)
+    return false;
+  Duration Expected = left();
+  if (Service_->Engine)
+    Expected = std::min(Expected,
+                        balancing::expectedDuration(*Service_->Engine,
+                                                    Head_.PromptTokens,
+                                                    Head_.MaxOutputTokens));
+  const auto SinceStop =
+      std::chrono::duration_cast<Duration>(State_.now() - State_.StopBegan);
+  return !balancing::mayStartWhileStopping(Expected, SinceStop,
+                                           State_.Settings.Bounds.Grace);
+}
+
 void Exchange::armLimit() {
   const TimePoint At = std::min(EndsAt_, SilentAt_);
   if (At >= ArmedFor_)
@@ -884,6 +902,8 @@
     const TimePoint Now = State_.now();
     if (State_.Crashes.isRefused(Content_, Now)) {
       co_await answerOwn(503, QuarantineRetry, "content crashed endpoints");
+    } else if (isTooLateToStart()) {
+      co_await answerOwn(503, Duration(0), "stopping");
     } else {
       armLimit();
       watchCaller();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -254,7 +254,7 @@
     if (State_.Stopping)
       return; // a second signal changes nothing
     State_.Stopping = true;
-    StopBegan_ = State_.now();
+    State_.StopBegan = State_.now();
     State_.Nodes->setStopping();
     logEvent("stopping")
         .field("active_requests", State_.ActiveRequests)
@@ -263,7 +263,7 @@
 
   void continueStop(TimePoint Now) {
     const Duration Elapsed =
-        std::chrono::duration_cast<Duration>(Now - StopBegan_);
+        std::chrono::duration_cast<Duration>(Now - State_.StopBegan);
     if (Elapsed < BalancerDelay)
       return;
     Callers_->closeIdle();
@@ -335,7 +335,6 @@
   std::uint64_t EndpointRow_ = 0;
   TimePoint LastHousekeeping_;
   TimePoint LastSettingsCheck_;
-  TimePoint StopBegan_;
   std::filesystem::file_time_type SettingsTime_;
 };
 
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -52,6 +52,7 @@
   std::uint64_t NextWorkId = 0;
   std::size_t ActiveRequests = 0;
   bool Stopping = false;
+  TimePoint StopBegan; ///< valid while Stopping
 
   TimePoint now() const { return std::chrono::steady_clock::now(); }
   /// Nodes among which limits are shared, at least one.
