--- a/apps/cassiashed/main.cpp
+++ b/apps/cassiashed/main.cpp
@@ -81,8 +81,8 @@
   }
   gateway::GatewayAdapter Adapter;
   Adapter.Protocol = platform::makeDialect();
-  Adapter.Store = platform::makeStoreClient(
-      {Options->Store.Host, Options->Store.Port});
+  Adapter.Store =
+      platform::makeStoreClient({Options->Store.Host, Options->Store.Port});
   return gateway::runGateway(*Options, Path, std::move(Adapter));
 }
 
--- a/include/cassiashed/balancing/crash_history.h
+++ b/include/cassiashed/balancing/crash_history.h
@@ -20,8 +20,7 @@
 /// at any node. A content that completed once is forgotten. Not thread-safe.
 class CrashHistory {
 public:
-  explicit CrashHistory(CrashHistoryOptions Options = {})
-      : Options_(Options) {}
+  explicit CrashHistory(CrashHistoryOptions Options = {}) : Options_(Options) {}
 
   /// Returns whether this was news.
   bool noteCrash(std::uint64_t Content, const std::string &EndpointId,
--- a/include/cassiashed/balancing/dispatcher.h
+++ b/include/cassiashed/balancing/dispatcher.h
@@ -16,8 +16,8 @@
 /// A request that needs an endpoint.
 struct DispatchRequest {
   const catalog::Service *Target = nullptr;
-  PlacementRequest Work;      ///< prompt, goal and value; `Id` unique
-  bool AlwaysPlace = false;   ///< even if it would be late: it has begun
+  PlacementRequest Work;            ///< prompt, goal and value; `Id` unique
+  bool AlwaysPlace = false;         ///< even if it would be late: it has begun
   std::set<std::uint32_t> Excluded; ///< endpoints already tried, by number
   std::vector<std::string> Regions; ///< allowed regions; empty: all
 };
--- a/include/cassiashed/balancing/endpoint_health.h
+++ b/include/cassiashed/balancing/endpoint_health.h
@@ -18,10 +18,10 @@
 };
 
 struct EndpointHealthOptions {
-  Duration HalfLife{3000};     ///< of what is remembered
-  double FailureWeight = 0.5;  ///< doubt added by a broken answer
-  double SilenceWeight = 1.0;  ///< doubt added by silence
-  double RefusalWeight = 0.15; ///< doubt added by a refusal
+  Duration HalfLife{3000};         ///< of what is remembered
+  double FailureWeight = 0.5;      ///< doubt added by a broken answer
+  double SilenceWeight = 1.0;      ///< doubt added by silence
+  double RefusalWeight = 0.15;     ///< doubt added by a refusal
   Duration UnreachablePause{1500}; ///< no requests after a failed connection
 };
 
--- a/include/cassiashed/balancing/placement.h
+++ b/include/cassiashed/balancing/placement.h
@@ -44,15 +44,15 @@
 /// Part of a request at one engine.
 struct PlacedPart {
   std::size_t Candidate = 0;
-  double PromptTokens = 0;  ///< that it reads
+  double PromptTokens = 0;   ///< that it reads
   double ReservedTokens = 0; ///< memory to reserve there; 0: none
-  double MemoryTokens = 0;  ///< memory that the request holds there
+  double MemoryTokens = 0;   ///< memory that the request holds there
 };
 
 struct Placement {
   std::vector<PlacedPart> Parts; ///< the first one writes the answer
   double FirstTokenMs = 0;       ///< predicted, from now
-  double Loss = 0; ///< value lost by the request and by others
+  double Loss = 0;               ///< value lost by the request and by others
 };
 
 /// Chooses the engines with the least loss of value. Load: prompts of very
--- a/include/cassiashed/catalog/endpoint.h
+++ b/include/cassiashed/catalog/endpoint.h
@@ -12,12 +12,12 @@
 std::string_view nameOf(EndpointState State);
 
 struct Endpoint {
-  std::string Id;      ///< of this incarnation
+  std::string Id; ///< of this incarnation
   std::string Service;
-  std::string Host;    ///< IP address
+  std::string Host; ///< IP address
   unsigned short Port = 0;
   std::string Zone;
-  int Slots = 1;       ///< requests that it runs at once
+  int Slots = 1; ///< requests that it runs at once
   EndpointState State = EndpointState::Ready;
   Duration ColdFor{0}; ///< how much longer it stays cold
   /// Wall-clock start in Unix milliseconds; tells incarnations with the same
--- a/include/cassiashed/catalog/service_config.h
+++ b/include/cassiashed/catalog/service_config.h
@@ -48,8 +48,8 @@
 struct Service {
   std::string Name;
   std::string HealthPath;
-  int ConnectionLimit = 0;       ///< connections of all nodes; 0: unknown
-  Duration ColdStart{0};         ///< how long a replica stays cold
+  int ConnectionLimit = 0;          ///< connections of all nodes; 0: unknown
+  Duration ColdStart{0};            ///< how long a replica stays cold
   double ColdRequestsPerSecond = 0; ///< what a cold replica bears; 0: any
   std::optional<engine::EngineSpec> Engine; ///< none for a plain service
 };
--- a/include/cassiashed/config/gateway_settings.h
+++ b/include/cassiashed/config/gateway_settings.h
@@ -29,20 +29,20 @@
 };
 
 struct GatewayLimits {
-  double CpuShare = 1;          ///< cores that the process may use
-  int MemoryMb = 256;           ///< the process is killed above it
+  double CpuShare = 1; ///< cores that the process may use
+  int MemoryMb = 256;  ///< the process is killed above it
   int FileDescriptors = 1024;
 };
 
 /// Bounds that the deployment promises; each holds over all nodes.
 struct GatewayBounds {
-  Duration Drain{2000};       ///< from a leaving notice to the last new request
-  Duration Grace{8000};       ///< from SIGTERM to SIGKILL
+  Duration Drain{2000}; ///< from a leaving notice to the last new request
+  Duration Grace{8000}; ///< from SIGTERM to SIGKILL
   Duration RetryWindow{10000};
-  double RetryRatio = 0.2;    ///< repeats per first attempt
-  double RetrySlack = 100;    ///< repeats besides, in a window
-  double ColdOverage = 1.5;   ///< factor on what a cold endpoint bears
-  double ColdSlack = 5;       ///< requests per second on top
+  double RetryRatio = 0.2;        ///< repeats per first attempt
+  double RetrySlack = 100;        ///< repeats besides, in a window
+  double ColdOverage = 1.5;       ///< factor on what a cold endpoint bears
+  double ColdSlack = 5;           ///< requests per second on top
   Duration ReservationMax{20000}; ///< longest reservation at an engine
   Duration ReservationFree{4000}; ///< unused memory must be free after it
 };
--- a/include/cassiashed/engine/engine_spec.h
+++ b/include/cassiashed/engine/engine_spec.h
@@ -14,7 +14,8 @@
   double StepPerRequestMs = 0;         ///< added for each decoding request
   double StepPerThousandContextMs = 0; ///< added per 1,000 tokens of context
   double PrefillTokensPerMs = 100;
-  double PrefillPairsMs = 0; ///< per million pairs of a token and an earlier one
+  double PrefillPairsMs =
+      0; ///< per million pairs of a token and an earlier one
   double PrefillTokensPerStep = 2048; ///< most tokens prefilled in one step
   double HelperHopMs = 0; ///< added to each step of a request with helpers
 };
--- a/include/cassiashed/engine/engine_timeline.h
+++ b/include/cassiashed/engine/engine_timeline.h
@@ -10,9 +10,9 @@
 
 /// What a request expects, and what is lost when it is late.
 struct ServiceGoal {
-  TimePoint FirstTokenBy;      ///< latest first token that is on time
-  double PauseMs = 0;          ///< longest pause between events; 0: any
-  double LateLoss = 0;         ///< value lost when late
+  TimePoint FirstTokenBy; ///< latest first token that is on time
+  double PauseMs = 0;     ///< longest pause between events; 0: any
+  double LateLoss = 0;    ///< value lost when late
 };
 
 /// Work of one request at one engine.
--- a/src/balancing/crash_history.cpp
+++ b/src/balancing/crash_history.cpp
@@ -29,11 +29,11 @@
 }
 
 void CrashHistory::dropOldest() {
-  const auto Oldest = std::min_element(
-      Contents_.begin(), Contents_.end(),
-      [](const auto &Left, const auto &Right) {
-        return Left.second.Last < Right.second.Last;
-      });
+  const auto Oldest =
+      std::min_element(Contents_.begin(), Contents_.end(),
+                       [](const auto &Left, const auto &Right) {
+                         return Left.second.Last < Right.second.Last;
+                       });
   Contents_.erase(Oldest);
 }
 
--- a/src/balancing/dispatcher.cpp
+++ b/src/balancing/dispatcher.cpp
@@ -84,10 +84,9 @@
                                 : choosePlain(Request, Candidates, Now, Random);
 }
 
-Dispatch
-Dispatcher::choosePlain(const DispatchRequest &Request,
-                        const std::vector<EndpointRef> &Candidates,
-                        TimePoint Now, std::mt19937_64 &Random) const {
+Dispatch Dispatcher::choosePlain(const DispatchRequest &Request,
+                                 const std::vector<EndpointRef> &Candidates,
+                                 TimePoint Now, std::mt19937_64 &Random) const {
   Dispatch Result;
   std::uniform_real_distribution<double> Jitter(0, 0.1);
   double Best = 0;
@@ -96,10 +95,9 @@
                            static_cast<double>(std::max(1, Each->Entry.Slots));
     if (PerSlot >= Options_.MaxPerSlot)
       continue;
-    const double Load = PerSlot +
-                        Health_.doubt(Each->Number, Now) * DoubtAsLoad +
-                        (Each->Entry.Zone == Options_.Zone ? 0 : 0.05) +
-                        Jitter(Random);
+    const double Load =
+        PerSlot + Health_.doubt(Each->Number, Now) * DoubtAsLoad +
+        (Each->Entry.Zone == Options_.Zone ? 0 : 0.05) + Jitter(Random);
     if (Result.Endpoints.empty() || Load < Best) {
       Best = Load;
       Result.Endpoints = {Each};
@@ -115,10 +113,9 @@
   return Result;
 }
 
-Dispatch
-Dispatcher::chooseEngines(const DispatchRequest &Request,
-                          const std::vector<EndpointRef> &Candidates,
-                          TimePoint Now) {
+Dispatch Dispatcher::chooseEngines(const DispatchRequest &Request,
+                                   const std::vector<EndpointRef> &Candidates,
+                                   TimePoint Now) {
   Dispatch Result;
   const engine::EngineSpec &Spec = *Request.Target->Engine;
   std::vector<EngineCandidate> Engines;
--- a/src/balancing/fleet_load.cpp
+++ b/src/balancing/fleet_load.cpp
@@ -4,9 +4,8 @@
 
 namespace cassiashed::balancing {
 
-engine::EngineTimeline &
-FleetLoad::timeline(const std::string &EndpointId,
-                    const engine::EngineSpec &Spec) {
+engine::EngineTimeline &FleetLoad::timeline(const std::string &EndpointId,
+                                            const engine::EngineSpec &Spec) {
   auto &Entry = Timelines_[EndpointId];
   if (!Entry)
     Entry = std::make_unique<engine::EngineTimeline>(Spec);
@@ -29,9 +28,9 @@
           makeJob(Work.Request, Part.Part, Index == 0, Now, Options_), Now);
   }
   const TimePoint ExpiresAt =
-      Now + std::chrono::duration_cast<TimePoint::duration>(
-                std::chrono::duration<double, std::milli>(
-                    Work.Request.DeadlineMs));
+      Now +
+      std::chrono::duration_cast<TimePoint::duration>(
+          std::chrono::duration<double, std::milli>(Work.Request.DeadlineMs));
   Active_[Work.Request.Id] = {Work, ExpiresAt};
 }
 
--- a/src/balancing/placement.cpp
+++ b/src/balancing/placement.cpp
@@ -61,8 +61,7 @@
   const double AtFirst =
       freeMemory(Candidates[Parts.front().Candidate], Spec, Options);
   double Rest = Needed;
-  for (std::size_t Index = 1; Index < Parts.size() && Rest > AtFirst;
-       ++Index) {
+  for (std::size_t Index = 1; Index < Parts.size() && Rest > AtFirst; ++Index) {
     const double Free =
         freeMemory(Candidates[Parts[Index].Candidate], Spec, Options);
     const double Taken = std::floor(std::min(Free, Rest - AtFirst));
@@ -74,14 +73,14 @@
   }
   Parts.front().MemoryTokens = Rest;
   return Spec.MemoryTokens <= 0 || Rest <= AtFirst ||
-         (Parts.size() == 1 && Rest <= Spec.MemoryTokens * Options.UsableMemory);
+         (Parts.size() == 1 &&
+          Rest <= Spec.MemoryTokens * Options.UsableMemory);
 }
 
 } // namespace
 
 EngineJob makeJob(const PlacementRequest &Request, const PlacedPart &Part,
-                  bool Writes, TimePoint Now,
-                  const PlacementOptions &Options) {
+                  bool Writes, TimePoint Now, const PlacementOptions &Options) {
   EngineJob Job;
   Job.Id = Request.Id;
   Job.PromptTokens = Part.PromptTokens;
@@ -91,9 +90,9 @@
   if (Writes) {
     Job.OutputTokens = std::max(1.0, Request.OutputTokens);
     Job.Goal.FirstTokenBy =
-        Now + std::chrono::duration_cast<TimePoint::duration>(
-                  std::chrono::duration<double, std::milli>(
-                      Request.FirstTokenMs));
+        Now +
+        std::chrono::duration_cast<TimePoint::duration>(
+            std::chrono::duration<double, std::milli>(Request.FirstTokenMs));
     Job.Goal.PauseMs = Request.PauseMs;
     Job.Goal.LateLoss = Request.Value * (1 - Options.LateShare);
   }
@@ -157,9 +156,9 @@
       std::iter_swap(Option.Parts.begin(), Roomiest);
     if (!assignMemory(Request, Candidates, Spec, Options, Option.Parts))
       continue;
-    Option.Loss += ownLoss(Request, Option.FirstTokenMs, Options) +
-                   Request.Value * Options.HelperCost *
-                       static_cast<double>(Size - 1);
+    Option.Loss +=
+        ownLoss(Request, Option.FirstTokenMs, Options) +
+        Request.Value * Options.HelperCost * static_cast<double>(Size - 1);
     if (!Best || Option.Loss < Best->Loss)
       Best = std::move(Option);
   }
--- a/src/balancing/stop_window.cpp
+++ b/src/balancing/stop_window.cpp
@@ -16,8 +16,8 @@
 
 Duration expectedDuration(const engine::EngineSpec &Spec, double PromptTokens,
                           double OutputTokens) {
-  const double Ms = engine::prefillMs(Spec, 0, PromptTokens) +
-                    OutputTokens * Spec.StepMs;
+  const double Ms =
+      engine::prefillMs(Spec, 0, PromptTokens) + OutputTokens * Spec.StepMs;
   return Duration(static_cast<Duration::rep>(Ms * BusyFactor));
 }
 
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -30,8 +30,8 @@
   return Duration(static_cast<Duration::rep>(*Value * 1000));
 }
 
-std::optional<std::optional<HostPort>> parseOptionalAddress(
-    std::string_view Text) {
+std::optional<std::optional<HostPort>>
+parseOptionalAddress(std::string_view Text) {
   const auto Parsed = parseHostPort(Text);
   if (!Parsed)
     return std::nullopt;
@@ -124,36 +124,31 @@
 };
 
 constexpr std::array Sections = {
-    GatewaySection{
-        "gateway", true,
-        [](const IniSection &From, GatewaySettings &To,
-           ProblemReporter &Report) {
-          readKeys(From, IdentityRules, To.Gateway, Report);
-        }},
-    GatewaySection{
-        "store", true,
-        [](const IniSection &From, GatewaySettings &To,
-           ProblemReporter &Report) {
-          readKeys(From, StoreRules, To, Report);
-        }},
-    GatewaySection{
-        "cluster", false,
-        [](const IniSection &From, GatewaySettings &To,
-           ProblemReporter &Report) {
-          readKeys(From, ClusterRules, To.Cluster, Report);
-        }},
-    GatewaySection{
-        "limits", false,
-        [](const IniSection &From, GatewaySettings &To,
-           ProblemReporter &Report) {
-          readKeys(From, LimitRules, To.Limits, Report);
-        }},
-    GatewaySection{
-        "bounds", false,
-        [](const IniSection &From, GatewaySettings &To,
-           ProblemReporter &Report) {
-          readKeys(From, BoundRules, To.Bounds, Report);
-        }},
+    GatewaySection{"gateway", true,
+                   [](const IniSection &From, GatewaySettings &To,
+                      ProblemReporter &Report) {
+                     readKeys(From, IdentityRules, To.Gateway, Report);
+                   }},
+    GatewaySection{"store", true,
+                   [](const IniSection &From, GatewaySettings &To,
+                      ProblemReporter &Report) {
+                     readKeys(From, StoreRules, To, Report);
+                   }},
+    GatewaySection{"cluster", false,
+                   [](const IniSection &From, GatewaySettings &To,
+                      ProblemReporter &Report) {
+                     readKeys(From, ClusterRules, To.Cluster, Report);
+                   }},
+    GatewaySection{"limits", false,
+                   [](const IniSection &From, GatewaySettings &To,
+                      ProblemReporter &Report) {
+                     readKeys(From, LimitRules, To.Limits, Report);
+                   }},
+    GatewaySection{"bounds", false,
+                   [](const IniSection &From, GatewaySettings &To,
+                      ProblemReporter &Report) {
+                     readKeys(From, BoundRules, To.Bounds, Report);
+                   }},
 };
 
 void readSection(const IniSection &Section, std::set<std::string_view> &Seen,
--- a/src/engine/engine_timeline.cpp
+++ b/src/engine/engine_timeline.cpp
@@ -26,9 +26,8 @@
 double EngineTimeline::latenessOf(double AtMs, double LimitMs) {
   if (LimitMs <= 0)
     return 0;
-  return std::clamp((AtMs / LimitMs - SurelyOnTime) /
-                        (SurelyLate - SurelyOnTime),
-                    0.0, 1.0);
+  return std::clamp(
+      (AtMs / LimitMs - SurelyOnTime) / (SurelyLate - SurelyOnTime), 0.0, 1.0);
 }
 
 double EngineTimeline::prefillCost(const Running &Entry, double Begin,
@@ -152,8 +151,8 @@
     PassEndsAt_ = std::max(PassEndsAt_, Entry.ArrivesAt);
   // Parts for other engines are read ahead of other prompts.
   if (Job.OutputTokens <= 0) {
-    const auto Place = std::find_if(
-        Jobs_.begin(), Jobs_.end(), [](const Running &Other) {
+    const auto Place =
+        std::find_if(Jobs_.begin(), Jobs_.end(), [](const Running &Other) {
           return !Other.Decoding && Other.Job.OutputTokens > 0;
         });
     Jobs_.insert(Place, Entry);
@@ -181,8 +180,8 @@
     }
 }
 
-double EngineTimeline::lossUntilDrained(std::vector<Running> Jobs,
-                                        double Begin, std::uint64_t Watched,
+double EngineTimeline::lossUntilDrained(std::vector<Running> Jobs, double Begin,
+                                        std::uint64_t Watched,
                                         double *FirstAt) const {
   double Loss = 0;
   double At = Begin;
@@ -236,7 +235,8 @@
   else
     With.push_back(Entry);
   double FirstAt = -1;
-  const double Loss = lossUntilDrained(std::move(With), Begin, Job.Id, &FirstAt);
+  const double Loss =
+      lossUntilDrained(std::move(With), Begin, Job.Id, &FirstAt);
   Forecast Result;
   Result.FirstTokenMs = FirstAt < 0 ? 1e9 : FirstAt - NowMs;
   Result.LossToOthers = std::max(0.0, Loss - BaselineLoss_);
@@ -244,9 +244,8 @@
 }
 
 bool EngineTimeline::holds(std::uint64_t Id) const {
-  return std::any_of(Jobs_.begin(), Jobs_.end(), [Id](const Running &Entry) {
-    return Entry.Job.Id == Id;
-  });
+  return std::any_of(Jobs_.begin(), Jobs_.end(),
+                     [Id](const Running &Entry) { return Entry.Job.Id == Id; });
 }
 
 double EngineTimeline::memoryInUse() const {
@@ -257,8 +256,8 @@
 }
 
 int EngineTimeline::jobsWithPauseBelow(double PauseMs) const {
-  return static_cast<int>(
-      std::count_if(Jobs_.begin(), Jobs_.end(), [PauseMs](const Running &Entry) {
+  return static_cast<int>(std::count_if(
+      Jobs_.begin(), Jobs_.end(), [PauseMs](const Running &Entry) {
         return Entry.Job.Goal.PauseMs > 0 && Entry.Job.Goal.PauseMs < PauseMs;
       }));
 }
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -23,7 +23,8 @@
 class ReadLimit {
 public:
   ReadLimit(Tcp::socket &Socket, Duration Limit)
-      : State_(std::make_shared<State>()), Timer_(Socket.get_executor(), Limit) {
+      : State_(std::make_shared<State>()),
+        Timer_(Socket.get_executor(), Limit) {
     State_->Socket = &Socket;
     Timer_.async_wait([Watched = State_](Code Failure) {
       if (Failure || !Watched->Socket)
@@ -77,7 +78,8 @@
     return 431;
   if (Failure == bhttp::error::body_limit)
     return 413;
-  if (Failure.category() == make_error_code(bhttp::error::bad_method).category() &&
+  if (Failure.category() ==
+          make_error_code(bhttp::error::bad_method).category() &&
       Failure != bhttp::error::end_of_stream &&
       Failure != bhttp::error::partial_message)
     return 400;
@@ -147,12 +149,11 @@
                                         intoCode(Failure));
       TimedOut = Limit.expired();
     }
-    if (!Failure && equalsIgnoringCase(
-                        std::string_view(Parser.get()[bhttp::field::expect]
-                                             .data(),
-                                         Parser.get()[bhttp::field::expect]
-                                             .size()),
-                        "100-continue")) {
+    if (!Failure &&
+        equalsIgnoringCase(
+            std::string_view(Parser.get()[bhttp::field::expect].data(),
+                             Parser.get()[bhttp::field::expect].size()),
+            "100-continue")) {
       static constexpr std::string_view Continue =
           "HTTP/1.1 100 Continue\r\n\r\n";
       co_await asio::async_write(Socket_, asio::buffer(Continue),
@@ -162,8 +163,9 @@
       const std::size_t Expected =
           Parser.content_length().value_or(Limits.BodyBytes);
       const ReadLimit Limit(
-          Socket_, Limits.HeadTimeout + std::chrono::seconds(
-                                            Expected / LeastBodyBytesPerSecond));
+          Socket_,
+          Limits.HeadTimeout +
+              std::chrono::seconds(Expected / LeastBodyBytesPerSecond));
       co_await bhttp::async_read(Socket_, Buffer_, Parser, intoCode(Failure));
       TimedOut = Limit.expired();
     }
@@ -182,8 +184,7 @@
     Request.Method = std::string(Message.method_string());
     Request.Target = std::string(Message.target());
     Request.Fields = endToEndFields(Message);
-    Request.HasBody =
-        Parser.chunked() || Parser.content_length().has_value();
+    Request.HasBody = Parser.chunked() || Parser.content_length().has_value();
     Request.IsOldVersion = Message.version() < 11;
     Request.KeepAlive = Message.keep_alive();
     Request.Body = std::move(Parser.get().body());
@@ -224,8 +225,8 @@
 class CallerServerImpl final : public CallerServer {
 public:
   explicit CallerServerImpl(GatewayState &State)
-      : State_(std::make_shared<ServerState>(State)),
-        Acceptor_(State.Context) {}
+      : State_(std::make_shared<ServerState>(State)), Acceptor_(State.Context) {
+  }
 
   bool listen(const HostPort &Address, std::string &Reason) {
     Code Failure;
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -17,12 +17,12 @@
 
 /// What the head of a caller's request says.
 struct CallerHead {
-  std::string AttemptId;              ///< empty: none was sent
-  std::optional<Duration> Deadline;   ///< how long the caller waits
-  std::string ApiKey;                 ///< empty: none was sent
-  std::string LastEventId;            ///< a stream resumed by the caller
-  double PromptTokens = 0;            ///< 0: not a prompt
-  double OutputTokens = 0;            ///< expected
+  std::string AttemptId;            ///< empty: none was sent
+  std::optional<Duration> Deadline; ///< how long the caller waits
+  std::string ApiKey;               ///< empty: none was sent
+  std::string LastEventId;          ///< a stream resumed by the caller
+  double PromptTokens = 0;          ///< 0: not a prompt
+  double OutputTokens = 0;          ///< expected
   double MaxOutputTokens = 0;
 };
 
@@ -35,21 +35,21 @@
 /// What the gateway adds to a request that it sends to an endpoint.
 struct Forwarding {
   std::string EndpointId;
-  std::string Workspace; ///< empty: none
-  Duration Left{0};      ///< until the caller gives up
-  int Priority = 5;      ///< 0 (first) to 9, at the engine
+  std::string Workspace;   ///< empty: none
+  Duration Left{0};        ///< until the caller gives up
+  int Priority = 5;        ///< 0 (first) to 9, at the engine
   std::string LastEventId; ///< resume after this event; empty: from the start
   std::vector<HelperUse> Helpers;
 };
 
 /// What the head of an endpoint's answer says.
 struct EndpointHead {
-  bool NotRun = false;         ///< the endpoint states that it did not run
-  bool WrongEndpoint = false;  ///< another replica has the address
-  bool Signed = false;         ///< an answer of the replica's work
-  std::string AttemptId;       ///< request that it answers; empty: unknown
+  bool NotRun = false;             ///< the endpoint states that it did not run
+  bool WrongEndpoint = false;      ///< another replica has the address
+  bool Signed = false;             ///< an answer of the replica's work
+  std::string AttemptId;           ///< request that it answers; empty: unknown
   std::optional<Duration> ColdFor; ///< the endpoint says it is cold
-  std::string FaultyAddress;   ///< another endpoint that caused a failure
+  std::string FaultyAddress;       ///< another endpoint that caused a failure
 };
 
 /// A row of the operator's table.
@@ -71,12 +71,14 @@
   virtual EndpointHead readEndpointHead(int Status,
                                         const http::Headers &Fields) const = 0;
   /// Header fields of an answer of the gateway's own.
-  virtual http::Headers refusalFields(const std::string &AttemptId,
-                                      std::optional<Duration> RetryAfter) const = 0;
+  virtual http::Headers
+  refusalFields(const std::string &AttemptId,
+                std::optional<Duration> RetryAfter) const = 0;
 
   virtual http::Request reserveOrder(const std::string &ReservationId,
                                      double Tokens, Duration Hold) const = 0;
-  virtual http::Request releaseOrder(const std::string &ReservationId) const = 0;
+  virtual http::Request
+  releaseOrder(const std::string &ReservationId) const = 0;
 
   /// Rows of the store. Nothing and a reason if a row cannot be used.
   virtual std::optional<OperatorRow>
--- a/src/gateway/endpoint_pool.cpp
+++ b/src/gateway/endpoint_pool.cpp
@@ -23,10 +23,10 @@
 }
 
 bool isExpired(const EndpointLink &Link, TimePoint Now) {
-  const Duration Limit = Link.IdleLimit.count() > 0
-                             ? std::max(Link.IdleLimit - IdleMargin,
-                                        Duration(0))
-                             : DefaultIdleLimit;
+  const Duration Limit =
+      Link.IdleLimit.count() > 0
+          ? std::max(Link.IdleLimit - IdleMargin, Duration(0))
+          : DefaultIdleLimit;
   return Now - Link.IdleSince > Limit;
 }
 
@@ -100,8 +100,8 @@
   Code Ignored;
   Socket.set_option(Tcp::no_delay(true), Ignored);
   detectDeadPeer(Socket, DeadPeerLimit);
-  LinkRef Link = std::make_unique<EndpointLink>(*this, Number,
-                                                std::move(Socket));
+  LinkRef Link =
+      std::make_unique<EndpointLink>(*this, Number, std::move(Socket));
   co_return Link;
 }
 
--- a/src/gateway/event_assembler.cpp
+++ b/src/gateway/event_assembler.cpp
@@ -11,7 +11,8 @@
   const auto After = [](std::size_t At, std::size_t Length) {
     return At == std::string_view::npos ? 0 : At + Length;
   };
-  return std::max(After(Text.rfind("\n\n"), 2), After(Text.rfind("\r\n\r\n"), 4));
+  return std::max(After(Text.rfind("\n\n"), 2),
+                  After(Text.rfind("\r\n\r\n"), 4));
 }
 
 } // namespace
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -5,8 +5,8 @@
 #include "gateway/event_assembler.h"
 #include "gateway/reservations.h"
 #include <array>
-#include <limits>
 #include <boost/asio/write.hpp>
+#include <limits>
 
 namespace cassiashed::gateway {
 namespace {
@@ -56,12 +56,12 @@
 
 /// How one attempt ended.
 enum class AttemptEnd {
-  Answered,  ///< a final answer went to the caller
-  NotSent,   ///< the endpoint got nothing of the request
-  NotRun,    ///< the endpoint states that it did not run the request
-  Failed,    ///< may have run; nothing went to the caller
+  Answered,     ///< a final answer went to the caller
+  NotSent,      ///< the endpoint got nothing of the request
+  NotRun,       ///< the endpoint states that it did not run the request
+  Failed,       ///< may have run; nothing went to the caller
   FailedAnswer, ///< the endpoint's own failure, kept for the caller
-  Broken,    ///< broke off after a part went to the caller
+  Broken,       ///< broke off after a part went to the caller
 };
 
 std::string_view nameOf(AttemptEnd End) {
@@ -116,8 +116,7 @@
   http::Task<AttemptEnd> attempt(const Dispatch &Chosen);
   http::Task<AttemptEnd> receive(const Dispatch &Chosen, LinkRef &Link,
                                  const std::shared_ptr<PendingWrite> &Sending);
-  http::Task<AttemptEnd> relayStream(EndpointLink &Link,
-                                     ResponseParser &Parser,
+  http::Task<AttemptEnd> relayStream(EndpointLink &Link, ResponseParser &Parser,
                                      const EndpointRef &Peer);
   http::Task<AttemptEnd> relayWhole(EndpointLink &Link, ResponseParser &Parser,
                                     const EndpointHead &Head);
@@ -243,9 +242,8 @@
                           Request_.ReceivedAt + Route_->FirstByteTarget - Now)
                           .count();
   Work.DeadlineMs = static_cast<double>(left().count());
-  Work.Value =
-      (Head_.PromptTokens + OutputTokenWeight * Head_.OutputTokens) /
-      TokensPerValue;
+  Work.Value = (Head_.PromptTokens + OutputTokenWeight * Head_.OutputTokens) /
+               TokensPerValue;
 }
 
 bool Exchange::isTooLateToStart() const {
@@ -253,10 +251,9 @@
     return false;
   Duration Expected = left();
   if (Service_->Engine)
-    Expected = std::min(Expected,
-                        balancing::expectedDuration(*Service_->Engine,
-                                                    Head_.PromptTokens,
-                                                    Head_.MaxOutputTokens));
+    Expected = std::min(Expected, balancing::expectedDuration(
+                                      *Service_->Engine, Head_.PromptTokens,
+                                      Head_.MaxOutputTokens));
   const auto SinceStop =
       std::chrono::duration_cast<Duration>(State_.now() - State_.StopBegan);
   return !balancing::mayStartWhileStopping(Expected, SinceStop,
@@ -339,8 +336,8 @@
     State_.Dispatcher.setNodeCount(State_.sharingNodes());
     Wanted_.Work.DeadlineMs = static_cast<double>(left().count());
     Wanted_.Work.FirstTokenMs =
-        std::chrono::duration<double, std::milli>(
-            Request_.ReceivedAt + Route_->FirstByteTarget - Now)
+        std::chrono::duration<double, std::milli>(Request_.ReceivedAt +
+                                                  Route_->FirstByteTarget - Now)
             .count();
     Chosen = State_.Dispatcher.choose(Wanted_, Now, State_.Random);
     const bool CanWait =
@@ -487,9 +484,9 @@
   const TimePoint Now = State_.now();
   if (Ending_ != Ending::None)
     return; // this node closed the connection
-  State_.Health.note(Peer->Number,
-                     Silent_ ? EndpointOutcome::Silent : EndpointOutcome::Broken,
-                     Now);
+  State_.Health.note(
+      Peer->Number, Silent_ ? EndpointOutcome::Silent : EndpointOutcome::Broken,
+      Now);
   if (!Silent_)
     State_.BrokenRuns.push_back({Content_, Peer, Now});
 }
@@ -550,12 +547,11 @@
   const bool IsStream = Route_->Kind == CallKind::Stream;
   if (IsStream)
     setSilenceLimit(State_.now() + FirstEventSlack +
-                    std::chrono::milliseconds(static_cast<int>(std::min(
-                        1e6, Chosen.FirstTokenMs * SilenceFactor))));
+                    std::chrono::milliseconds(static_cast<int>(
+                        std::min(1e6, Chosen.FirstTokenMs * SilenceFactor))));
   else if (Route_->mayRepeat() && Sends_ < Route_->MaxAttempts)
-    setSilenceLimit(State_.now() +
-                    std::chrono::duration_cast<Duration>(left() *
-                                                         PlainSilencePart));
+    setSilenceLimit(State_.now() + std::chrono::duration_cast<Duration>(
+                                       left() * PlainSilencePart));
   std::optional<ResponseParser> Parser;
   EndpointHead Answer;
   bool Matches = false;
@@ -660,8 +656,8 @@
   Result.Status = static_cast<int>(Parser.get().result_int());
   Result.Reason = std::string(Parser.get().reason());
   Result.Fields = endToEndFields(Parser.get());
-  Result.HasBody = Request_.Method != "HEAD" && Result.Status != 204 &&
-                   Result.Status != 304;
+  Result.HasBody =
+      Request_.Method != "HEAD" && Result.Status != 204 && Result.Status != 304;
   Result.KeepAlive = Request_.KeepAlive && !State_.Stopping;
   const auto Length = Parser.content_length();
   if (Length) {
@@ -675,8 +671,7 @@
   return Result;
 }
 
-http::Task<bool> Exchange::readPiece(EndpointLink &Link,
-                                     ResponseParser &Parser,
+http::Task<bool> Exchange::readPiece(EndpointLink &Link, ResponseParser &Parser,
                                      std::string &Piece) {
   Piece.resize(PieceBytes);
   std::size_t Count = 0;
@@ -710,9 +705,9 @@
                                              ResponseParser &Parser,
                                              const EndpointRef &Peer) {
   (void)Peer;
-  const Duration Silence = std::max(
-      LeastStreamSilence, std::chrono::duration_cast<Duration>(
-                              Route_->PauseTarget * SilenceFactor));
+  const Duration Silence =
+      std::max(LeastStreamSilence, std::chrono::duration_cast<Duration>(
+                                       Route_->PauseTarget * SilenceFactor));
   // A stream whose length is stated, or that cannot be resumed, passes
   // through byte by byte.
   const bool ByEvents =
@@ -815,9 +810,8 @@
         .field("config", Config_ ? Config_->Version : 0);
   });
   const bool KeepAlive = Request_.KeepAlive && !State_.Stopping;
-  AnswerComplete_ =
-      co_await sendOwnAnswer(State_, Caller_, Status, Head_.AttemptId,
-                             RetryAfter, KeepAlive, Reason);
+  AnswerComplete_ = co_await sendOwnAnswer(
+      State_, Caller_, Status, Head_.AttemptId, RetryAfter, KeepAlive, Reason);
 }
 
 bool Exchange::mayTryAgain(AttemptEnd End) {
@@ -940,7 +934,7 @@
   Code Ignored;
   Caller_.cancel(Ignored);
   --State_.ActiveRequests;
-  co_return AnswerComplete_ && Request_.KeepAlive && !State_.Stopping;
+  co_return AnswerComplete_ &&Request_.KeepAlive && !State_.Stopping;
 }
 
 } // namespace
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -8,7 +8,7 @@
 /// A request that was read whole.
 struct ReceivedRequest {
   std::string Method;
-  std::string Target; ///< path and query as sent
+  std::string Target;   ///< path and query as sent
   http::Headers Fields; ///< without those of the connection
   std::string Body;
   bool HasBody = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -76,7 +76,7 @@
         [this](const catalog::KnownEndpoint &Which) {
           return connectionRoom(Which);
         });
-    asio::co_spawn(Context_, publish(), asio::detached);
+    asio::co_spawn(Context_, joinNodes(), asio::detached);
     watchSignals();
     noteSettingsTime();
     tick();
@@ -107,6 +107,9 @@
     Events.NodeLost = [this](std::uint32_t Origin) {
       State_.Load.finishAllOf(Origin, State_.now());
     };
+    Events.EndpointRows = [this](std::vector<catalog::Row> Rows) {
+      Rows_->takeFromPeer(catalog::Table::Endpoints, std::move(Rows));
+    };
     Events.NewerRows = [this](catalog::Table Which, http::Address Peer) {
       Rows_->fetchFrom(Which, std::move(Peer));
     };
@@ -128,8 +131,7 @@
                        http::ResponseWriter &Writer) -> http::Task<void> {
           http::Response Reply = (this->*Handle)(Call);
           co_await Writer.send(Reply.Status, "text/plain",
-                               std::move(Reply.Body),
-                               std::move(Reply.Fields));
+                               std::move(Reply.Body), std::move(Reply.Fields));
         },
         [](http::ReadFailure) {
           return http::Response{400, {}, "request cannot be read\n"};
@@ -164,9 +166,12 @@
     }
     const std::string_view Path = Target.substr(0, Query);
     if (Path == "/rows/operator")
-      return {200, {}, packRows(Rows_->rowsAfter(catalog::Table::Operator, After))};
+      return {
+          200, {}, packRows(Rows_->rowsAfter(catalog::Table::Operator, After))};
     if (Path == "/rows/endpoints")
-      return {200, {}, packRows(Rows_->rowsAfter(catalog::Table::Endpoints, After))};
+      return {200,
+              {},
+              packRows(Rows_->rowsAfter(catalog::Table::Endpoints, After))};
     return {404, {}, "no such table\n"};
   }
 
@@ -194,20 +199,35 @@
                       : nullptr;
     if (!Service || Service->ConnectionLimit <= 0)
       return 1;
-    const int Share = std::max(
-        1, Service->ConnectionLimit / State_.sharingNodes());
+    const int Share =
+        std::max(1, Service->ConnectionLimit / State_.sharingNodes());
     return Share - State_.Pool.openCount(Which.Number);
   }
 
-  http::Task<void> publish() {
+  /// Writes this node's address to the store, then reads those of the others:
+  /// of two nodes that start at once, the later writer finds the other.
+  http::Task<void> joinNodes() {
     const GatewayIdentity &Self = State_.Settings.Gateway;
+    bool Written = false;
     while (true) {
-      const StoreRows Result = co_await Adapter_.Store->writeNode(
-          Self.Name, encodeNodeRow(Self.Internal.Host));
-      if (Result.Status == StoreStatus::Ok)
+      StoreRows Result;
+      if (!Written)
+        Result = co_await Adapter_.Store->writeNode(
+            Self.Name, encodeNodeRow(Self.Internal.Host));
+      else
+        Result = co_await Adapter_.Store->readAll(catalog::Table::Nodes);
+      if (Result.Status != StoreStatus::Ok) {
+        logWarning("nodes_table_failed")
+            .field("step", Written ? "read" : "write")
+            .field("reason", Result.Reason);
+        co_await http::sleepFor(PublishPause);
+        continue;
+      }
+      if (Written) {
+        onRows(catalog::Table::Nodes, Result.Rows);
         co_return;
-      logWarning("node_row_not_written").field("reason", Result.Reason);
-      co_await http::sleepFor(PublishPause);
+      }
+      Written = true;
     }
   }
 
@@ -255,7 +275,6 @@
       return; // a second signal changes nothing
     State_.Stopping = true;
     State_.StopBegan = State_.now();
-    State_.Nodes->setStopping();
     logEvent("stopping")
         .field("active_requests", State_.ActiveRequests)
         .field("connections", Callers_->connectionCount());
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -12,7 +12,8 @@
 public:
   virtual ~GatewayMetrics() = default;
 
-  virtual void countOutcome(std::string_view Kind, std::string_view Outcome) = 0;
+  virtual void countOutcome(std::string_view Kind,
+                            std::string_view Outcome) = 0;
   virtual void countAttempt(std::string_view Result) = 0;
   virtual void observeFirstByte(std::string_view Kind,
                                 std::string_view Workspace, Duration Delay) = 0;
--- a/src/gateway/http_wire.cpp
+++ b/src/gateway/http_wire.cpp
@@ -3,9 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 
 namespace cassiashed::gateway {
 namespace {
@@ -19,11 +16,6 @@
   }
 }
 
-void setOption(int Socket, int Level, int Name, int Value) {
-  // Best effort: without it a dead peer is found by the request's time limit.
-  (void)::setsockopt(Socket, Level, Name, &Value, sizeof(Value));
-}
-
 } // namespace
 
 bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
@@ -37,9 +29,15 @@
 
 bool isConnectionField(std::string_view Name) {
   static constexpr std::array<std::string_view, 10> Names = {
-      "Connection",       "Keep-Alive", "Proxy-Connection",
-      "Proxy-Authenticate", "Proxy-Authorization", "TE",
-      "Trailer",          "Transfer-Encoding", "Upgrade",
+      "Connection",
+      "Keep-Alive",
+      "Proxy-Connection",
+      "Proxy-Authenticate",
+      "Proxy-Authorization",
+      "TE",
+      "Trailer",
+      "Transfer-Encoding",
+      "Upgrade",
       "Content-Length"};
   return std::any_of(Names.begin(), Names.end(), [Name](std::string_view Each) {
     return equalsIgnoringCase(Each, Name);
@@ -87,14 +85,4 @@
   return Text;
 }
 
-void detectDeadPeer(Tcp::socket &Socket, std::chrono::seconds Limit) {
-  const int Handle = Socket.native_handle();
-  const int Seconds = static_cast<int>(Limit.count());
-  setOption(Handle, SOL_SOCKET, SO_KEEPALIVE, 1);
-  setOption(Handle, IPPROTO_TCP, TCP_KEEPIDLE, 1);
-  setOption(Handle, IPPROTO_TCP, TCP_KEEPINTVL, 1);
-  setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, std::max(1, Seconds - 1));
-  setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, Seconds * 1000);
-}
-
 } // namespace cassiashed::gateway
--- a/src/gateway/http_wire.h
+++ b/src/gateway/http_wire.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "http/asio.h"
+#include "http/dead_peer.h"
 #include "http/message.h"
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -14,6 +15,7 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
+using http::detectDeadPeer;
 using http::Tcp;
 using Code = boost::system::error_code;
 
@@ -23,8 +25,7 @@
 
 /// Fields of a parsed head without those that concern one connection: the
 /// standard ones, those that `Connection` names, and the body's framing.
-template <typename Fields>
-http::Headers endToEndFields(const Fields &Head);
+template <typename Fields> http::Headers endToEndFields(const Fields &Head);
 
 /// Whether `Name` concerns one connection or the framing of the body.
 bool isConnectionField(std::string_view Name);
@@ -55,18 +56,12 @@
 std::string formatChunk(std::string_view Bytes);
 inline constexpr std::string_view LastChunk = "0\r\n\r\n";
 
-/// Detects peers that are gone without a word: keep-alive probes while idle,
-/// a limit on unacknowledged data otherwise.
-void detectDeadPeer(Tcp::socket &Socket, std::chrono::seconds Limit);
-
-template <typename Fields>
-http::Headers endToEndFields(const Fields &Head) {
+template <typename Fields> http::Headers endToEndFields(const Fields &Head) {
   std::string Listed;
   for (const auto &Field : Head)
-    if (equalsIgnoringCase(
-            std::string_view(Field.name_string().data(),
-                             Field.name_string().size()),
-            "Connection"))
+    if (equalsIgnoringCase(std::string_view(Field.name_string().data(),
+                                            Field.name_string().size()),
+                           "Connection"))
       Listed += "," + std::string(Field.value());
   const auto IsListed = [&Listed](std::string_view Name) {
     std::size_t Begin = 0;
--- a/src/gateway/node_messages.h
+++ b/src/gateway/node_messages.h
@@ -36,6 +36,15 @@
                  PauseMs, Value, Parts)
 };
 
+/// A row of the endpoints' table as the sender read it from the store.
+struct EndpointRowNews {
+  std::string Key;
+  std::string Value;
+  std::uint64_t Version = 0;
+  bool Removed = false;
+  MSGPACK_DEFINE(Key, Value, Version, Removed)
+};
+
 struct CrashNote {
   std::uint64_t Content = 0;
   std::string EndpointId;
@@ -45,10 +54,12 @@
 struct NodeMessage {
   std::uint32_t Format = NodeMessageFormat;
   std::string Node;
-  std::uint64_t Incarnation = 0;     ///< random, of the sender's process
-  std::uint64_t OperatorRow = 0;     ///< newest row of each table it holds
+  std::uint64_t Incarnation = 0; ///< random, of the sender's process
+  std::uint64_t OperatorRow = 0; ///< newest row of each table it holds
   std::uint64_t EndpointRow = 0;
-  bool Stopping = false;
+  /// The sender follows the endpoints' table at the store and passes news on.
+  bool Following = false;
+  std::vector<EndpointRowNews> EndpointRows;
   std::vector<WorkStarted> Started;
   std::vector<std::uint64_t> FirstTokens;
   std::vector<std::uint64_t> Finished;
@@ -56,8 +67,9 @@
   /// Addresses of nodes that the sender hears, for those that cannot read the
   /// nodes' table.
   std::vector<std::string> KnownNodes;
-  MSGPACK_DEFINE(Format, Node, Incarnation, OperatorRow, EndpointRow, Stopping,
-                 Started, FirstTokens, Finished, Crashes, KnownNodes)
+  MSGPACK_DEFINE(Format, Node, Incarnation, OperatorRow, EndpointRow, Following,
+                 EndpointRows, Started, FirstTokens, Finished, Crashes,
+                 KnownNodes)
 };
 
 WorkStarted describeWork(const balancing::Assignment &Work);
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -1,6 +1,7 @@
 #include "gateway/node_network.h"
 
 #include "cassiashed/base/event_log.h"
+#include "cassiashed/base/hash.h"
 #include "http/asio.h"
 #include <array>
 #include <boost/asio/ip/udp.hpp>
@@ -28,6 +29,14 @@
 /// Below the size that fits one Ethernet frame, so that no datagram is split.
 constexpr std::size_t MaxItemsPerMessage = 30;
 constexpr std::size_t MaxKnownNodes = 32;
+constexpr std::size_t MaxRowBytesPerMessage = 6000;
+/// Nodes that follow the endpoints' table: enough that some are left when a
+/// zone and a third of the other nodes lose the store at once.
+constexpr int FollowerCount = 4;
+/// A follower says so this often; one that is not heard for the longer time
+/// is replaced, well within the bounds on leaving endpoints.
+constexpr Duration FollowerHeartbeat{400};
+constexpr Duration FollowerSilence{1100};
 
 struct Peer {
   std::string Name; ///< empty for a seed that was not heard yet
@@ -36,6 +45,8 @@
   std::uint32_t Origin = 0;
   bool WasHeard = false;
   bool Lost = false;
+  bool Following = false;
+  std::uint64_t Rank = 0; ///< nodes with a lower one follow first
   TimePoint LastHeard;
 };
 
@@ -44,7 +55,8 @@
   Network(asio::io_context &Context, NodeNetworkOptions Options,
           NodeNetworkEvents Events)
       : Options_(std::move(Options)), Events_(std::move(Events)),
-        Socket_(Context), Heartbeat_(Context), Collect_(Context) {}
+        Rank_(hashBytes(Options_.Name)), Socket_(Context), Heartbeat_(Context),
+        Collect_(Context) {}
 
   bool open(std::string &Reason) {
     Code Failure;
@@ -58,8 +70,8 @@
       Socket_.non_blocking(true, Failure);
     if (Failure) {
       Reason = "cannot bind " + Options_.Internal.Host + ":" +
-               std::to_string(Options_.Internal.Port) + "/udp: " +
-               Failure.message();
+               std::to_string(Options_.Internal.Port) +
+               "/udp: " + Failure.message();
       return false;
     }
     for (const std::string &Host : Options_.SeedHosts)
@@ -80,8 +92,8 @@
 
   void removeNode(const std::string &Name) override {
     for (auto Entry = Peers_.begin(); Entry != Peers_.end();)
-      Entry = Entry->second.Name == Name ? Peers_.erase(Entry)
-                                         : std::next(Entry);
+      Entry =
+          Entry->second.Name == Name ? Peers_.erase(Entry) : std::next(Entry);
   }
 
   void setRowVersions(std::uint64_t OperatorRow,
@@ -89,7 +101,21 @@
     OperatorRow_ = OperatorRow;
     EndpointRow_ = EndpointRow;
   }
-  void setStopping() override { Stopping_ = true; }
+  bool shouldFollow() const override {
+    const TimePoint Now = std::chrono::steady_clock::now();
+    int Before = 0;
+    for (const auto &[Host, Entry] : Peers_)
+      if (Entry.Following && Entry.Rank < Rank_ &&
+          Now - Entry.LastHeard < FollowerSilence)
+        ++Before;
+    return Before < FollowerCount;
+  }
+  void setFollowing(bool Following) override {
+    if (Following == Following_)
+      return;
+    Following_ = Following;
+    beat();
+  }
 
   void announceStart(const balancing::Assignment &Work) override {
     Pending_.Started.push_back(describeWork(Work));
@@ -108,6 +134,20 @@
     flush();
   }
 
+  void announceEndpointRows(const std::vector<catalog::Row> &Rows) override {
+    std::size_t Bytes = 0;
+    for (const catalog::Row &Each : Rows) {
+      if (Bytes > MaxRowBytesPerMessage) {
+        flush();
+        Bytes = 0;
+      }
+      Bytes += Each.Key.size() + Each.Value.size();
+      Pending_.EndpointRows.push_back(
+          {Each.Key, Each.Value, Each.Version, Each.Removed});
+    }
+    flush();
+  }
+
   int possibleNodes() const override {
     return static_cast<int>(Peers_.size()) + 1;
   }
@@ -180,6 +220,8 @@
     From->WasHeard = true;
     From->Lost = false;
     From->LastHeard = Now;
+    From->Following = Message->Following;
+    From->Rank = hashBytes(Message->Node);
     for (const std::string &Host : Message->KnownNodes)
       if (Host != Options_.Internal.Host)
         (void)peerAt(Host);
@@ -192,6 +234,12 @@
       Events_.WorkFinished(Id);
     for (const CrashNote &Note : Message->Crashes)
       Events_.Crash(Note);
+    if (!Message->EndpointRows.empty()) {
+      std::vector<catalog::Row> Rows;
+      for (const EndpointRowNews &Each : Message->EndpointRows)
+        Rows.push_back({Each.Key, Each.Value, Each.Version, Each.Removed});
+      Events_.EndpointRows(std::move(Rows));
+    }
     noteVersions(*Message);
   }
 
@@ -207,15 +255,16 @@
     const std::uint64_t EndpointRow = Message.EndpointRow;
     auto Timer = std::make_shared<asio::steady_timer>(Socket_.get_executor(),
                                                       CatchUpDelay);
-    Timer->async_wait([this, Timer, From, OperatorRow, EndpointRow](Code Failure) {
-      CatchingUp_ = false;
-      if (Failure)
-        return;
-      if (OperatorRow > OperatorRow_)
-        Events_.NewerRows(catalog::Table::Operator, From);
-      if (EndpointRow > EndpointRow_)
-        Events_.NewerRows(catalog::Table::Endpoints, From);
-    });
+    Timer->async_wait(
+        [this, Timer, From, OperatorRow, EndpointRow](Code Failure) {
+          CatchingUp_ = false;
+          if (Failure)
+            return;
+          if (OperatorRow > OperatorRow_)
+            Events_.NewerRows(catalog::Table::Operator, From);
+          if (EndpointRow > EndpointRow_)
+            Events_.NewerRows(catalog::Table::Endpoints, From);
+        });
   }
 
   void beat() {
@@ -235,9 +284,9 @@
     const std::string Bytes = packMessage(Message);
     for (const auto &[Host, Entry] : Peers_)
       send(Bytes, Entry.Where);
-    const int Factor =
-        1 + static_cast<int>(Peers_.size()) / NodesPerHeartbeat;
-    Heartbeat_.expires_after(HeartbeatPeriod * Factor);
+    const int Factor = 1 + static_cast<int>(Peers_.size()) / NodesPerHeartbeat;
+    Heartbeat_.expires_after(Following_ ? FollowerHeartbeat
+                                        : HeartbeatPeriod * Factor);
     Heartbeat_.async_wait([this](Code Failure) {
       if (!Failure)
         beat();
@@ -250,7 +299,7 @@
     Message.Incarnation = Options_.Incarnation;
     Message.OperatorRow = OperatorRow_;
     Message.EndpointRow = EndpointRow_;
-    Message.Stopping = Stopping_;
+    Message.Following = Following_;
     return Message;
   }
 
@@ -273,13 +322,15 @@
 
   void flush() {
     if (Pending_.Started.empty() && Pending_.FirstTokens.empty() &&
-        Pending_.Finished.empty() && Pending_.Crashes.empty())
+        Pending_.Finished.empty() && Pending_.Crashes.empty() &&
+        Pending_.EndpointRows.empty())
       return;
     NodeMessage Message = makeMessage();
     Message.Started.swap(Pending_.Started);
     Message.FirstTokens.swap(Pending_.FirstTokens);
     Message.Finished.swap(Pending_.Finished);
     Message.Crashes.swap(Pending_.Crashes);
+    Message.EndpointRows.swap(Pending_.EndpointRows);
     const std::string Bytes = packMessage(Message);
     const TimePoint Now = std::chrono::steady_clock::now();
     for (const auto &[Host, Entry] : Peers_)
@@ -294,6 +345,7 @@
 
   NodeNetworkOptions Options_;
   NodeNetworkEvents Events_;
+  std::uint64_t Rank_;
   Udp::socket Socket_;
   Udp::endpoint Sender_;
   std::array<char, 16 * 1024> Received_{};
@@ -301,7 +353,7 @@
   asio::steady_timer Collect_;
   bool Collecting_ = false;
   bool CatchingUp_ = false;
-  bool Stopping_ = false;
+  bool Following_ = false;
   std::map<std::string, Peer> Peers_; ///< by IP address
   std::uint32_t NextOrigin_ = 1;
   std::uint64_t OperatorRow_ = 0;
@@ -315,8 +367,8 @@
                                               NodeNetworkOptions Options,
                                               NodeNetworkEvents Events,
                                               std::string &Reason) {
-  auto Result = std::make_unique<Network>(Context, std::move(Options),
-                                          std::move(Events));
+  auto Result =
+      std::make_unique<Network>(Context, std::move(Options), std::move(Events));
   if (!Result->open(Reason))
     return nullptr;
   return Result;
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -19,7 +19,7 @@
 struct NodeNetworkOptions {
   std::string Name;
   std::uint64_t Incarnation = 0; ///< random, of this process
-  http::Address Internal;       ///< own address, UDP and TCP
+  http::Address Internal;        ///< own address, UDP and TCP
   std::vector<std::string> SeedHosts;
 };
 
@@ -31,6 +31,8 @@
   std::function<void(const CrashNote &)> Crash;
   /// A node was replaced or fell silent; its work ended or goes unreported.
   std::function<void(std::uint32_t Origin)> NodeLost;
+  /// Rows of the endpoints' table that a node read from the store.
+  std::function<void(std::vector<catalog::Row>)> EndpointRows;
   /// A node holds rows that this one has not seen yet.
   std::function<void(catalog::Table, http::Address Peer)> NewerRows;
 };
@@ -46,12 +48,17 @@
   /// Newest rows that this node holds; sent with every message.
   virtual void setRowVersions(std::uint64_t OperatorRow,
                               std::uint64_t EndpointRow) = 0;
-  virtual void setStopping() = 0;
+  /// Whether this node should follow the endpoints' table at the store: too
+  /// few nodes that come before it say that they do.
+  virtual bool shouldFollow() const = 0;
+  /// Tells the other nodes whether this one follows the table.
+  virtual void setFollowing(bool Following) = 0;
 
   virtual void announceStart(const balancing::Assignment &Work) = 0;
   virtual void announceFirstToken(std::uint64_t Id) = 0;
   virtual void announceFinish(std::uint64_t Id) = 0;
   virtual void announceCrash(const CrashNote &Note) = 0;
+  virtual void announceEndpointRows(const std::vector<catalog::Row> &Rows) = 0;
 
   /// Nodes that may be running, this one included: known by name or heard.
   virtual int possibleNodes() const = 0;
--- a/src/gateway/reservations.cpp
+++ b/src/gateway/reservations.cpp
@@ -58,9 +58,8 @@
   http::Task<void> order(const ReservationPlan &Plan, bool Reserve,
                          int &Status) {
     http::Request Call =
-        Reserve
-            ? Protocol_.reserveOrder(Plan.Id, Plan.Tokens, Options_.Hold)
-            : Protocol_.releaseOrder(Plan.Id);
+        Reserve ? Protocol_.reserveOrder(Plan.Id, Plan.Tokens, Options_.Hold)
+                : Protocol_.releaseOrder(Plan.Id);
     http::Address Where{Plan.Host, Plan.Port};
     std::optional<http::Response> Reply =
         co_await http::fetch(Where, Call, Options_.CallTimeout);
--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -14,7 +14,11 @@
 /// How long the store holds a call open while nothing changes. Calls are
 /// priced; a connection that went silent is noticed after this time at the
 /// latest, and earlier through the versions that other nodes report.
-constexpr Duration FollowWait{10000};
+constexpr Duration FollowWait{20000};
+/// Changes of the configuration within this time are read with one call.
+constexpr Duration OperatorPause{200};
+/// How often a node that does not follow a table checks whether it should.
+constexpr Duration RoleCheck{200};
 constexpr Duration FirstPause{100};
 constexpr Duration LongestPause{1500};
 constexpr Duration PeerReadLimit{1000};
@@ -32,9 +36,8 @@
       : State_(State), Store_(Store), Notify_(std::move(Notify)) {}
 
   void start() {
-    for (int Index = 0; Index < catalog::TableCount; ++Index)
-      asio::co_spawn(State_.Context, follow(static_cast<Table>(Index)),
-                     asio::detached);
+    for (const Table Which : {Table::Operator, Table::Endpoints})
+      asio::co_spawn(State_.Context, follow(Which), asio::detached);
   }
 
   void fetchFrom(Table Which, http::Address Peer) override {
@@ -42,6 +45,10 @@
                    asio::detached);
   }
 
+  void takeFromPeer(Table Which, std::vector<Row> Rows) override {
+    report(Which, mirror(Which).merge(std::move(Rows), 0), "peer");
+  }
+
   std::vector<Row> rowsAfter(Table Which, std::uint64_t After) const override {
     return mirror(Which).changesAfter(After);
   }
@@ -61,17 +68,23 @@
     Duration Pause = FirstPause;
     bool ReadAll = true;
     while (true) {
+      if (!ReadAll && !mayFollow(Which)) {
+        co_await http::sleepFor(RoleCheck);
+        continue;
+      }
       StoreRows Result;
       if (ReadAll)
         Result = co_await Store_.readAll(Which);
       else
-        Result = co_await Store_.waitForChanges(
-            Which, mirror(Which).version(), FollowWait);
+        Result = co_await Store_.waitForChanges(Which, mirror(Which).version(),
+                                                FollowWait);
       noteAnswer(Which, Result);
       if (Result.Status == StoreStatus::Ok) {
         take(Which, Result, ReadAll);
         ReadAll = false;
         Pause = FirstPause;
+        if (Which == Table::Operator)
+          co_await http::sleepFor(OperatorPause);
         continue;
       }
       if (Result.Status == StoreStatus::HistoryGone) {
@@ -83,12 +96,25 @@
     }
   }
 
+  /// Whether this node follows the table at the store. The endpoints' table
+  /// changes often; a few nodes follow it and pass the changes on.
+  bool mayFollow(Table Which) {
+    if (Which != Table::Endpoints)
+      return true;
+    const bool Should = State_.Nodes->shouldFollow();
+    if (!Should)
+      State_.Nodes->setFollowing(false);
+    return Should;
+  }
+
   void take(Table Which, StoreRows &Result, bool ReadAll) {
     const std::vector<Row> News =
-        ReadAll ? mirror(Which).replaceAll(std::move(Result.Rows),
-                                           Result.Version)
-                : mirror(Which).merge(std::move(Result.Rows), Result.Version);
+        ReadAll
+            ? mirror(Which).replaceAll(std::move(Result.Rows), Result.Version)
+            : mirror(Which).merge(std::move(Result.Rows), Result.Version);
     report(Which, News, "store");
+    if (Which == Table::Endpoints && !News.empty())
+      State_.Nodes->announceEndpointRows(News);
   }
 
   void report(Table Which, const std::vector<Row> &News,
@@ -107,6 +133,9 @@
   void noteAnswer(Table Which, const StoreRows &Result) {
     const bool Answers = Result.Status == StoreStatus::Ok ||
                          Result.Status == StoreStatus::HistoryGone;
+    // A node that the store turns away does not count as a follower.
+    if (Which == Table::Endpoints)
+      State_.Nodes->setFollowing(Answers);
     if (Answers == Answers_)
       return;
     Answers_ = Answers;
@@ -123,8 +152,8 @@
   http::Task<void> fetch(Table Which, http::Address Peer) {
     http::Request Call;
     Call.Method = "GET";
-    Call.Target = "/rows/" + std::string(nameOf(Which)) + "?after=" +
-                  std::to_string(mirror(Which).newestRow());
+    Call.Target = "/rows/" + std::string(nameOf(Which)) +
+                  "?after=" + std::to_string(mirror(Which).newestRow());
     const std::string From = Peer.Host;
     std::optional<http::Response> Reply =
         co_await http::fetch(std::move(Peer), Call, PeerReadLimit);
--- a/src/gateway/row_follower.h
+++ b/src/gateway/row_follower.h
@@ -7,15 +7,19 @@
 
 namespace cassiashed::gateway {
 
-/// Keeps copies of the store's tables up to date: from the store while it
-/// answers, from other nodes when they hold newer rows.
+/// Keeps copies of the operator's and the endpoints' table up to date: from the
+/// store while it answers, from other nodes when they hold newer rows.
 class RowFollower {
 public:
-  using OnRows = std::function<void(catalog::Table, const std::vector<catalog::Row> &)>;
+  using OnRows =
+      std::function<void(catalog::Table, const std::vector<catalog::Row> &)>;
 
   virtual ~RowFollower() = default;
   /// Reads the newer rows of a table from another node.
   virtual void fetchFrom(catalog::Table Which, http::Address Peer) = 0;
+  /// Rows that another node has read from the store.
+  virtual void takeFromPeer(catalog::Table Which,
+                            std::vector<catalog::Row> Rows) = 0;
   /// Rows of a table newer than `After`, for other nodes.
   virtual std::vector<catalog::Row> rowsAfter(catalog::Table Which,
                                               std::uint64_t After) const = 0;
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -31,9 +31,8 @@
   /// All rows of a table.
   virtual http::Task<StoreRows> readAll(catalog::Table From) = 0;
   /// Rows changed after `After`, as soon as there is one; none after `Wait`.
-  virtual http::Task<StoreRows> waitForChanges(catalog::Table From,
-                                               std::uint64_t After,
-                                               Duration Wait) = 0;
+  virtual http::Task<StoreRows>
+  waitForChanges(catalog::Table From, std::uint64_t After, Duration Wait) = 0;
   /// Writes one row of the nodes' table, whatever is there.
   virtual http::Task<StoreRows> writeNode(std::string Key,
                                           std::string Value) = 0;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include "http/dead_peer.h"
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -13,6 +14,9 @@
 using Code = boost::system::error_code;
 
 constexpr std::size_t PieceBytes = 16 * 1024;
+/// A peer that cannot be reached is noticed after it, also while a call waits
+/// for an answer that may take long.
+constexpr std::chrono::seconds DeadPeerLimit{3};
 constexpr std::size_t MaxReplyBytes = 64 * 1024 * 1024;
 
 auto intoCode(Code &Result) {
@@ -116,6 +120,7 @@
   void setSocketOptions() {
     Code Ignored;
     Stream_.socket().set_option(Tcp::no_delay(true), Ignored);
+    detectDeadPeer(Stream_.socket(), DeadPeerLimit);
     if (Options_.ReceiveBufferBytes > 0)
       Stream_.socket().set_option(
           Tcp::socket::receive_buffer_size(Options_.ReceiveBufferBytes),
