--- a/include/cassiashed/engine/engine_timeline.h
+++ b/include/cassiashed/engine/engine_timeline.h
@@ -21,7 +21,7 @@
   double PromptTokens = 0; ///< tokens that this engine prefills
   /// Length of the whole prompt if this engine prefills only a part of it.
   double WholePromptTokens = 0;
-  double OutputTokens = 0; ///< 0: the engine only prefills
+  double OutputTokens = 0; ///< expected; 0: the engine only prefills
   double MemoryTokens = 0; ///< KV cache held at this engine
   ServiceGoal Goal;
 };
@@ -79,14 +79,20 @@
 
   double toMs(TimePoint When) const;
   double prefillCost(const Running &Entry, double Begin, double End) const;
+  /// What a simulated pass reports besides its end.
+  struct PassWatch {
+    std::uint64_t Id = 0;     ///< job whose first token is watched
+    double FirstTokenAt = -1; ///< ms since the epoch of the timeline
+    double Loss = 0;          ///< value lost by late first tokens and pauses
+  };
   /// Runs one pass that begins at `Begin`; returns its end, or `Begin` if
   /// nothing can run.
   double runPass(std::vector<Running> &Jobs, double Begin,
-                 std::uint64_t Watched, double *WatchedFirstAt,
-                 double *Loss) const;
+                 PassWatch *Watch) const;
   static double latenessOf(double AtMs, double LimitMs);
-  double lossUntilDrained(std::vector<Running> Jobs, double Begin,
-                          std::uint64_t Watched, double *FirstAt) const;
+  /// Runs passes until the watched job and all that waits now have begun.
+  void runAhead(std::vector<Running> Jobs, double Begin,
+                PassWatch &Watch) const;
 
   EngineSpec Spec_;
   double Pace_ = 1;
--- a/src/engine/engine_timeline.cpp
+++ b/src/engine/engine_timeline.cpp
@@ -15,6 +15,12 @@
 /// range is for the error of the prediction.
 constexpr double SurelyOnTime = 0.7;
 constexpr double SurelyLate = 1.05;
+/// A request that has produced this part of its expected output is expected to
+/// produce as much again as the factor says: lengths are spread widely.
+constexpr double OverdueFrom = 0.8;
+constexpr double OverdueFactor = 1.3;
+/// Forecast of a first token that no simulated pass produced, in ms.
+constexpr double Never = 1e9;
 
 } // namespace
 
@@ -40,8 +46,7 @@
 }
 
 double EngineTimeline::runPass(std::vector<Running> &Jobs, double Begin,
-                               std::uint64_t Watched, double *WatchedFirstAt,
-                               double *Loss) const {
+                               PassWatch *Watch) const {
   int Admitted = 0;
   int Decoding = 0;
   double Context = 0;
@@ -91,8 +96,8 @@
   for (Running &Entry : Jobs) {
     if (!Entry.Decoding)
       continue;
-    if (Loss && !Entry.Late)
-      *Loss += Entry.Job.Goal.LateLoss *
+    if (Watch && !Entry.Late)
+      Watch->Loss += Entry.Job.Goal.LateLoss *
                latenessOf(End - Entry.LastEventAt, Entry.Job.Goal.PauseMs);
     Entry.Late = Entry.Late || (Entry.Job.Goal.PauseMs > 0 &&
                                 End - Entry.LastEventAt >
@@ -104,15 +109,19 @@
     Running &Entry = Jobs[Index];
     Entry.Decoding = true;
     Entry.LastEventAt = End;
-    if (Entry.Job.Id == Watched && WatchedFirstAt)
-      *WatchedFirstAt = End;
+    if (Watch && Entry.Job.Id == Watch->Id)
+      Watch->FirstTokenAt = End;
     const double Limit = toMs(Entry.Job.Goal.FirstTokenBy) - Entry.ArrivesAt;
-    if (Loss && !Entry.Late && Entry.Job.Goal.LateLoss > 0)
-      *Loss += Entry.Job.Goal.LateLoss *
+    if (Watch && !Entry.Late && Entry.Job.Goal.LateLoss > 0)
+      Watch->Loss += Entry.Job.Goal.LateLoss *
                latenessOf(End - Entry.ArrivesAt, std::max(Limit, 1.0));
   }
-  std::erase_if(Jobs, [](const Running &Entry) {
-    return Entry.Decoding && Entry.Produced >= Entry.Job.OutputTokens;
+  // A request that is only foreseen ends when its expected output is done. One
+  // that runs ends when its node says so, since estimates are often too short.
+  std::erase_if(Jobs, [Watch](const Running &Entry) {
+    const bool IsPart = Entry.Job.OutputTokens <= 0;
+    return Entry.Decoding &&
+           (IsPart || (Watch && Entry.Produced >= Entry.Job.OutputTokens));
   });
   return End;
 }
@@ -124,7 +133,7 @@
     return;
   }
   while (PassEndsAt_ <= NowMs && !Jobs_.empty()) {
-    const double End = runPass(Jobs_, PassEndsAt_, 0, nullptr, nullptr);
+    const double End = runPass(Jobs_, PassEndsAt_, nullptr);
     BaselineLoss_ = -1;
     if (End == PassEndsAt_) {
       // Nothing runs before the next arrival.
@@ -180,15 +189,16 @@
     }
 }
 
-double EngineTimeline::lossUntilDrained(std::vector<Running> Jobs, double Begin,
-                                        std::uint64_t Watched,
-                                        double *FirstAt) const {
-  double Loss = 0;
+void EngineTimeline::runAhead(std::vector<Running> Jobs, double Begin,
+                              PassWatch &Watch) const {
+  for (Running &Entry : Jobs)
+    if (Entry.Produced >= Entry.Job.OutputTokens * OverdueFrom)
+      Entry.Job.OutputTokens = Entry.Produced * OverdueFactor;
   double At = Begin;
   double StopAt = -1;
   for (int Pass = 0; Pass < MaxForecastPasses; ++Pass) {
-    if (FirstAt && *FirstAt >= 0 && StopAt < 0)
-      StopAt = *FirstAt + ForecastTailMs;
+    if (Watch.FirstTokenAt >= 0 && StopAt < 0)
+      StopAt = Watch.FirstTokenAt + ForecastTailMs;
     if (StopAt >= 0 && At > StopAt)
       break;
     const bool Waiting =
@@ -196,7 +206,7 @@
                     [](const Running &Entry) { return !Entry.Decoding; });
     if (!Waiting)
       break;
-    const double End = runPass(Jobs, At, Watched, FirstAt, &Loss);
+    const double End = runPass(Jobs, At, &Watch);
     if (End == At) {
       double Next = -1;
       for (const Running &Entry : Jobs)
@@ -210,7 +220,6 @@
     }
     At = End;
   }
-  return Loss;
 }
 
 Forecast EngineTimeline::forecast(const EngineJob &Job, TimePoint Now,
@@ -218,8 +227,11 @@
   advance(Now);
   const double NowMs = toMs(Now);
   const double Begin = std::max(PassEndsAt_, NowMs);
-  if (BaselineLoss_ < 0)
-    BaselineLoss_ = lossUntilDrained(Jobs_, Begin, 0, nullptr);
+  if (BaselineLoss_ < 0) {
+    PassWatch Baseline;
+    runAhead(Jobs_, Begin, Baseline);
+    BaselineLoss_ = Baseline.Loss;
+  }
   std::vector<Running> With = Jobs_;
   Running Entry;
   Entry.Job = Job;
@@ -234,12 +246,13 @@
                 Entry);
   else
     With.push_back(Entry);
-  double FirstAt = -1;
-  const double Loss =
-      lossUntilDrained(std::move(With), Begin, Job.Id, &FirstAt);
+  PassWatch Watch;
+  Watch.Id = Job.Id;
+  runAhead(std::move(With), Begin, Watch);
   Forecast Result;
-  Result.FirstTokenMs = FirstAt < 0 ? 1e9 : FirstAt - NowMs;
-  Result.LossToOthers = std::max(0.0, Loss - BaselineLoss_);
+  Result.FirstTokenMs =
+      Watch.FirstTokenAt < 0 ? Never : Watch.FirstTokenAt - NowMs;
+  Result.LossToOthers = std::max(0.0, Watch.Loss - BaselineLoss_);
   return Result;
 }
 
