--- a/src/balancing/placement.cpp
+++ b/src/balancing/placement.cpp
@@ -15,9 +15,13 @@
 /// Numbers of engines that are tried for one prompt.
 constexpr std::array<std::size_t, 10> SplitSizes = {1, 2,  3,  4,  6,
                                                     8, 10, 12, 14, 17};
-/// Value of one second of earlier first token, relative to the request's
-/// value: breaks ties between engines that are all in time.
-constexpr double EarlinessWeight = 0.02;
+/// Value of one second of earlier first token. Among engines that are all in
+/// time, or all late, the one that is done first leaves more room for others.
+constexpr double EarlinessPerSecond = 0.2;
+/// Value lost by later requests when an engine's slots fill up: grows with the
+/// square of the load above the start, in requests per slot.
+constexpr double CongestionCost = 0.6;
+constexpr double CongestionFrom = 0.4;
 
 double ownLoss(const PlacementRequest &Request, double FirstTokenMs,
                const PlacementOptions &Options) {
@@ -31,7 +35,16 @@
           : std::clamp((FirstTokenMs / Request.FirstTokenMs - 0.8) / 0.3, 0.0,
                        1.0);
   return Request.Value * (1 - Options.LateShare) * Lateness +
-         Request.Value * EarlinessWeight * FirstTokenMs / 1000;
+         EarlinessPerSecond * FirstTokenMs / 1000;
+}
+
+double congestionLoss(const EngineCandidate &Candidate,
+                      const EngineSpec &Spec) {
+  const double PerSlot =
+      static_cast<double>(Candidate.Timeline->jobCount() + 1) /
+      std::max(1, Spec.Slots);
+  const double Over = std::max(0.0, PerSlot - CongestionFrom);
+  return CongestionCost * Over * Over;
 }
 
 struct Assessment {
@@ -121,7 +134,8 @@
       const EngineCandidate &Each = Candidates[Index];
       const Forecast Next = Each.Timeline->forecast(Job, Now, Each.TransitMs);
       Ranked[Index] = {Index, Next.FirstTokenMs,
-                       Next.LossToOthers + Each.Handicap};
+                       Next.LossToOthers + Each.Handicap +
+                           congestionLoss(Each, Spec)};
     }
     const auto Cost = [&](const Assessment &Each) {
       return Each.Loss + ownLoss(Request, Each.FirstTokenMs, Options);
