--- a/include/cassiashed/engine/engine_timeline.h
+++ b/include/cassiashed/engine/engine_timeline.h
@@ -23,6 +23,8 @@
   double WholePromptTokens = 0;
   double OutputTokens = 0; ///< expected; 0: the engine only prefills
   double MemoryTokens = 0; ///< KV cache held at this engine
+  /// Whether the engine admits it before waiting jobs that are not urgent.
+  bool Urgent = true;
   ServiceGoal Goal;
 };
 
@@ -89,6 +91,7 @@
   /// nothing can run.
   double runPass(std::vector<Running> &Jobs, double Begin,
                  PassWatch *Watch) const;
+  static void insertInOrder(std::vector<Running> &Jobs, const Running &Entry);
   static double latenessOf(double AtMs, double LimitMs);
   /// Runs passes until the watched job and all that waits now have begun.
   void runAhead(std::vector<Running> Jobs, double Begin,
--- a/src/engine/engine_timeline.cpp
+++ b/src/engine/engine_timeline.cpp
@@ -29,6 +29,23 @@
       .count();
 }
 
+void EngineTimeline::insertInOrder(std::vector<Running> &Jobs,
+                                   const Running &Entry) {
+  // Parts of prompts of other engines come first, then urgent requests.
+  const auto Rank = [](const Running &Each) {
+    if (Each.Job.OutputTokens <= 0)
+      return 0;
+    return Each.Job.Urgent ? 1 : 2;
+  };
+  const auto Place =
+      std::find_if(Jobs.begin(), Jobs.end(), [&](const Running &Other) {
+        // A prompt that is partly read keeps its place.
+        return !Other.Decoding && Other.Prefilled <= 0 &&
+               Rank(Other) > Rank(Entry);
+      });
+  Jobs.insert(Place, Entry);
+}
+
 double EngineTimeline::latenessOf(double AtMs, double LimitMs) {
   if (LimitMs <= 0)
     return 0;
@@ -237,15 +254,7 @@
   Entry.Job = Job;
   Entry.Job.Goal.LateLoss = 0; // the caller weighs the new job itself
   Entry.ArrivesAt = NowMs + TransitMs;
-  if (Job.OutputTokens <= 0)
-    With.insert(std::find_if(With.begin(), With.end(),
-                             [](const Running &Other) {
-                               return !Other.Decoding &&
-                                      Other.Job.OutputTokens > 0;
-                             }),
-                Entry);
-  else
-    With.push_back(Entry);
+  insertInOrder(With, Entry);
   PassWatch Watch;
   Watch.Id = Job.Id;
   runAhead(std::move(With), Begin, Watch);
