--- a/include/cassiashed/balancing/dispatcher.h
+++ b/include/cassiashed/balancing/dispatcher.h
@@ -34,6 +34,7 @@
   std::vector<catalog::EndpointRef> Endpoints; ///< the first writes the answer
   std::vector<PlacedPart> Parts;               ///< one per endpoint
   double FirstTokenMs = 0;                     ///< predicted; 0: unknown
+  double LossToOthers = 0; ///< value that other requests would lose
   DispatchFailure Failure = DispatchFailure::None;
   Duration RetryAfter{0}; ///< when a refused request should come back
 };
--- a/include/cassiashed/balancing/placement.h
+++ b/include/cassiashed/balancing/placement.h
@@ -39,6 +39,7 @@
   double DeadlineMs = 0;   ///< time left until the answer is worthless
   double PauseMs = 0;
   double Value = 1;
+  bool Urgent = true; ///< admitted before waiting requests that are not
 };
 
 /// Part of a request at one engine.
@@ -53,6 +54,7 @@
   std::vector<PlacedPart> Parts; ///< the first one writes the answer
   double FirstTokenMs = 0;       ///< predicted, from now
   double Loss = 0;               ///< value lost by the request and by others
+  double LossToOthers = 0;
 };
 
 /// Chooses the engines with the least loss of value. Load: prompts of very
--- a/src/balancing/dispatcher.cpp
+++ b/src/balancing/dispatcher.cpp
@@ -141,6 +141,7 @@
     Result.Endpoints.push_back(Candidates[Part.Candidate]);
   Result.Parts = Chosen->Parts;
   Result.FirstTokenMs = Chosen->FirstTokenMs;
+  Result.LossToOthers = Chosen->LossToOthers;
   return Result;
 }
 
--- a/src/balancing/placement.cpp
+++ b/src/balancing/placement.cpp
@@ -100,6 +100,7 @@
   if (Part.PromptTokens < Request.PromptTokens)
     Job.WholePromptTokens = Request.PromptTokens;
   Job.MemoryTokens = Part.MemoryTokens;
+  Job.Urgent = Request.Urgent;
   if (Writes) {
     Job.OutputTokens = std::max(1.0, Request.OutputTokens);
     Job.Goal.FirstTokenBy =
@@ -170,6 +171,7 @@
       std::iter_swap(Option.Parts.begin(), Roomiest);
     if (!assignMemory(Request, Candidates, Spec, Options, Option.Parts))
       continue;
+    Option.LossToOthers = Option.Loss;
     Option.Loss +=
         ownLoss(Request, Option.FirstTokenMs, Options) +
         Request.Value * Options.HelperCost * static_cast<double>(Size - 1);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange.h"
 
+#include "cassiashed/balancing/late_lane.h"
 #include "cassiashed/balancing/stop_window.h"
 #include "cassiashed/base/hash.h"
 #include "gateway/event_assembler.h"
@@ -45,6 +46,13 @@
 /// part of its target, then it is refused.
 constexpr double WaitPart = 0.125;
 constexpr Duration WaitStep{15};
+/// How often a late request looks for calm engines; spread so that requests
+/// which began to wait together do not look together.
+constexpr int LateStepMinMs = 40;
+constexpr int LateStepMaxMs = 90;
+/// Priorities at the engine, 0 is first.
+constexpr int UrgentPriority = 3;
+constexpr int LatePriority = 8;
 /// Token price of an output token relative to a prompt token, for the value of
 /// a request: decoding takes a step, prefill a small part of one.
 constexpr double OutputTokenWeight = 10;
@@ -111,6 +119,8 @@
 
   // Attempts.
   http::Task<Dispatch> dispatch();
+  /// Whether a request that would be late lets others go first.
+  bool waitsInLateLane(const Dispatch &Chosen, TimePoint Now);
   http::Task<bool> reserve(const Dispatch &Chosen);
   http::Task<LinkRef> openLink(const EndpointRef &Peer);
   http::Task<AttemptEnd> attempt(const Dispatch &Chosen);
@@ -326,6 +336,22 @@
   });
 }
 
+bool Exchange::waitsInLateLane(const Dispatch &Chosen, TimePoint Now) {
+  balancing::PlacementRequest &Work = Wanted_.Work;
+  Work.Urgent =
+      Work.FirstTokenMs > 0 && Chosen.FirstTokenMs <= Work.FirstTokenMs;
+  if (!Service_->Engine || Sends_ > 0)
+    return false;
+  const double WaitedMs =
+      std::chrono::duration<double, std::milli>(Now - Request_.ReceivedAt)
+          .count();
+  const double TotalMs = std::chrono::duration<double, std::milli>(
+                             EndsAt_ - Request_.ReceivedAt)
+                             .count();
+  return balancing::decideLateStep(Chosen, Work, WaitedMs, TotalMs) ==
+         balancing::LateStep::Wait;
+}
+
 http::Task<Dispatch> Exchange::dispatch() {
   const TimePoint GiveUpAt =
       State_.now() + std::chrono::duration_cast<TimePoint::duration>(
@@ -343,9 +369,18 @@
     const bool CanWait =
         Chosen.Failure == balancing::DispatchFailure::AllCold &&
         Now + WaitStep < GiveUpAt;
-    if (!Chosen.Endpoints.empty() || !CanWait || Ending_ != Ending::None)
+    if (Ending_ != Ending::None)
+      break;
+    Duration Step = WaitStep;
+    if (!Chosen.Endpoints.empty()) {
+      if (!waitsInLateLane(Chosen, Now))
+        break;
+      std::uniform_int_distribution<int> Spread(LateStepMinMs, LateStepMaxMs);
+      Step = Duration(Spread(State_.Random));
+    } else if (!CanWait) {
       break;
-    co_await http::sleepFor(WaitStep);
+    }
+    co_await http::sleepFor(Step);
   }
   co_return Chosen;
 }
@@ -400,6 +435,7 @@
   if (Workspace_)
     Added.Workspace = Workspace_->Name;
   Added.Left = left();
+  Added.Priority = Wanted_.Work.Urgent ? UrgentPriority : LatePriority;
   Added.LastEventId =
       Events_.lastId().empty() ? Head_.LastEventId : Events_.lastId();
   std::size_t Plan = 0;
--- a/src/gateway/node_messages.cpp
+++ b/src/gateway/node_messages.cpp
@@ -11,6 +11,7 @@
   Message.DeadlineMs = Work.Request.DeadlineMs;
   Message.PauseMs = Work.Request.PauseMs;
   Message.Value = Work.Request.Value;
+  Message.Urgent = Work.Request.Urgent;
   for (const balancing::AssignedPart &Each : Work.Parts)
     Message.Parts.push_back(
         {Each.EndpointId, Each.Part.PromptTokens, Each.Part.MemoryTokens});
@@ -28,6 +29,7 @@
   Work.Request.DeadlineMs = Message.DeadlineMs;
   Work.Request.PauseMs = Message.PauseMs;
   Work.Request.Value = Message.Value;
+  Work.Request.Urgent = Message.Urgent;
   for (const WorkPart &Each : Message.Parts) {
     balancing::AssignedPart Part;
     Part.EndpointId = Each.EndpointId;
--- a/src/gateway/node_messages.h
+++ b/src/gateway/node_messages.h
@@ -31,9 +31,10 @@
   double DeadlineMs = 0;
   double PauseMs = 0;
   double Value = 0;
+  bool Urgent = true;
   std::vector<WorkPart> Parts;
   MSGPACK_DEFINE(Id, PromptTokens, OutputTokens, FirstTokenMs, DeadlineMs,
-                 PauseMs, Value, Parts)
+                 PauseMs, Value, Urgent, Parts)
 };
 
 /// A row of the endpoints' table as the sender read it from the store.
