--- a/src/balancing/placement.cpp
+++ b/src/balancing/placement.cpp
@@ -15,9 +15,11 @@
 /// Numbers of engines that are tried for one prompt.
 constexpr std::array<std::size_t, 10> SplitSizes = {1, 2,  3,  4,  6,
                                                     8, 10, 12, 14, 17};
-/// Value of one second of earlier first token. Among engines that are all in
-/// time, or all late, the one that is done first leaves more room for others.
+/// Value of one second of earlier first token: a constant, and a part of the
+/// request's value. Among engines that are all in time, or all late, those
+/// that are done first leave more room for what comes next.
 constexpr double EarlinessPerSecond = 0.2;
+constexpr double EarlinessOfValue = 0.05;
 /// Value lost by later requests when an engine's slots fill up: grows with the
 /// square of the load above the start, in requests per slot.
 constexpr double CongestionCost = 0.6;
@@ -35,7 +37,8 @@
           : std::clamp((FirstTokenMs / Request.FirstTokenMs - 0.8) / 0.3, 0.0,
                        1.0);
   return Request.Value * (1 - Options.LateShare) * Lateness +
-         EarlinessPerSecond * FirstTokenMs / 1000;
+         (EarlinessPerSecond + EarlinessOfValue * Request.Value) *
+             FirstTokenMs / 1000;
 }
 
 double congestionLoss(const EngineCandidate &Candidate,
--- a/src/engine/engine_timeline.cpp
+++ b/src/engine/engine_timeline.cpp
@@ -39,9 +39,9 @@
   };
   const auto Place =
       std::find_if(Jobs.begin(), Jobs.end(), [&](const Running &Other) {
-        // A prompt that is partly read keeps its place.
-        return !Other.Decoding && Other.Prefilled <= 0 &&
-               Rank(Other) > Rank(Entry);
+        // A prompt that is partly read keeps its place, except for parts.
+        const bool KeepsPlace = Other.Prefilled > 0 && Rank(Entry) > 0;
+        return !Other.Decoding && !KeepsPlace && Rank(Other) > Rank(Entry);
       });
   Jobs.insert(Place, Entry);
 }
