--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -840,6 +840,7 @@
         .field("status", Status)
         .field("reason", Reason)
         .field("attempts", Sends_)
+        .field("prompt_tokens", Head_.PromptTokens)
         .field("waited_ms", std::chrono::duration_cast<Duration>(
                                 State_.now() - Request_.ReceivedAt)
                                 .count())
