Log to standard output without blocking; test the gateway as a process

Cause: the users' engineers read structured lines on standard output; glog writes to standard error and waits for a reader that stands still.

--- a/include/cassiashed/base/event_log.h
+++ b/include/cassiashed/base/event_log.h
@@ -44,6 +44,11 @@
   return LogLine(Event, Severity::Error);
 }
 
+/// Sends later lines to standard output, with the time in Unix milliseconds
+/// and the level in front. Never blocks: a line that the reader is too slow for
+/// is lost, and the next line tells how many were. For one thread.
+void logToStandardOutput();
+
 /// Starts glog for this process. Lines go to standard error.
 void startLogging(const char *Program);
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -361,6 +361,7 @@
 
 int runGateway(const GatewaySettings &Settings, const std::string &SettingsPath,
                GatewayAdapter Adapter) {
+  logToStandardOutput();
   // A write to a closed connection is an error of that connection only.
   std::signal(SIGPIPE, SIG_IGN);
   // Never destroyed: the process ends right after, and coroutines that still
--- /dev/null
+++ b/tests/process/gateway_test.py
@@ -0,0 +1,341 @@
+"""The gateway between callers, replicas and the store of the users' platform."""
+
+import http.client
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins" / "users_platform"))
+from replica import Replica  # noqa: E402
+from store import Store  # noqa: E402
+
+BUILD = pathlib.Path(os.environ.get("CASSIASHED_BUILD", "build"))
+KEY = "key-1"
+WHOLE = b"whole body"
+EVENTS = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 7))
+
+
+def free_ports(count):
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def route(prefix, kind, service, **extra):
+    return {"name": prefix, "host": "h.example", "pathPrefix": prefix, "kind": kind, "service": service,
+            "timeoutMs": 4000, "targetLatencyMs": 300, "priority": 1, "maxAttempts": 2,
+            "allowAnonymous": False, **extra}
+
+
+def make_config(version, routes=None, keys=(KEY,)):
+    routes = routes or [
+        route("/get/", "idempotent", "app"),
+        route("/post/", "non_idempotent", "app"),
+        route("/stream/", "streaming", "llm", resumable=True, targetGapMs=250),
+        route("/open/", "idempotent", "app", allowAnonymous=True),
+        route("/short/", "non_idempotent", "app", timeoutMs=400),
+    ]
+    engine = {"slots": 16, "kvCacheTokens": 232000, "stride": 43, "step_ms": 1.02, "read_per_s": 206000.0,
+              "pairs_per_m": 0.138, "chunk": 2048}
+    return {"version": version, "routes": routes,
+            "services": [{"name": "app", "healthPath": "/health", "connectionLimit": 96},
+                         {"name": "llm", "healthPath": "/health", "connectionLimit": 200, "engine": engine}],
+            "limits": {"headerBytes": 8192, "bodyBytes": 100000, "headerTimeoutMs": 1000, "idleTimeoutMs": 5000},
+            "tenants": [{"name": "w1", "apiKeys": list(keys)}]}
+
+
+class Gateway:
+    """One gateway process. `names` counts up, so that several can be started."""
+
+    def __init__(self, directory, name, store, grace_s=8, host="127.0.0.1", seeds=()):
+        self.port, self.ready_port, self.internal_port = free_ports(3)
+        self.host = host
+        settings = pathlib.Path(directory) / f"{name}.ini"
+        self.log_path = pathlib.Path(directory) / f"{name}.log"
+        settings.write_text(
+            f"[gateway]\nname = {name}\nzone = za\nregion = r\nlisten = {host}:{self.port}\n"
+            f"readiness = {host}:{self.ready_port}\ninternal = {host}:{self.internal_port}\n"
+            f"[store]\naddress = 127.0.0.1:{store.port}\n[cluster]\nseeds = {','.join(seeds)}\n"
+            f"zone_regions = za:r\n[bounds]\ngrace_s = {grace_s}\n")
+        self._log = open(self.log_path, "wb")
+        self.process = subprocess.Popen(
+            [str(BUILD / "apps/cassiashed/cassiashed"), "gateway", "--settings", str(settings)],
+            stdout=self._log, stderr=subprocess.STDOUT)
+
+    def is_ready(self):
+        connection = http.client.HTTPConnection(self.host, self.ready_port, timeout=2)
+        try:
+            connection.request("GET", "/readiness")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+    def close(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self._log.close()
+
+
+class GatewayTest(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = directory.name
+        self.store = Store()
+        self.addCleanup(self.store.close)
+        self.app = [self.make_replica(f"app-{n}") for n in range(2)]
+        self.llm = [self.make_replica(f"llm-{n}") for n in range(2)]
+        for each in self.app:
+            self.store.put("servers", each.identity, each.entry("app"))
+        for each in self.llm:
+            each.script = ["events"]
+            self.store.put("servers", each.identity, each.entry("llm"))
+        self.store.put("op", "config", make_config(3))
+        self.gateway = self.start_gateway("g1")
+        self.attempt = 0
+
+    def make_replica(self, identity):
+        result = Replica(identity)
+        self.addCleanup(result.close)
+        return result
+
+    def start_gateway(self, name, **options):
+        result = Gateway(self.directory, name, self.store, **options)
+        self.addCleanup(result.close)
+        self.wait_for(result.is_ready, f"{name} is ready")
+        return result
+
+    def wait_for(self, condition, what, seconds=20):
+        end = time.monotonic() + seconds
+        while not condition():
+            self.assertLess(time.monotonic(), end, f"not in time: {what}")
+            time.sleep(0.02)
+
+    def call(self, path, method="GET", body=None, key=KEY, gateway=None, deadline_ms=3000, **fields):
+        """Status, header fields and body; status 0 if the answer is incomplete."""
+        target = gateway or self.gateway
+        self.attempt += 1
+        connection = http.client.HTTPConnection(target.host, target.port, timeout=20)
+        headers = {"Host": "h.example", "Attempt-Id": f"a{self.attempt}",
+                   "Deadline-Milliseconds": str(deadline_ms), **fields}
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
+        try:
+            connection.request(method, path, body, headers)
+            reply = connection.getresponse()
+            return reply.status, reply.headers, reply.read()
+        except (OSError, http.client.HTTPException):
+            return 0, {}, b""
+        finally:
+            connection.close()
+
+    def share_script(self, replicas, script):
+        """The replicas take their behaviours from one list, whoever is asked."""
+        for each in replicas:
+            each.script, each.requests = script, []
+
+    def stream(self):
+        return self.call("/stream/x", "POST", b"prompt", **{"Token-Counts": "5000,300"})
+
+    def requests(self, replicas):
+        return [request for each in replicas for request in each.requests]
+
+    def raw(self, text, wait=3):
+        """What the gateway answers to these bytes until it closes or falls silent."""
+        with socket.create_connection((self.gateway.host, self.gateway.port), timeout=wait) as peer:
+            peer.sendall(text)
+            answer = b""
+            try:
+                while piece := peer.recv(65536):
+                    answer += piece
+            except OSError:
+                pass
+            return answer
+
+    # Passing on.
+
+    def test_request_and_answer_pass_unchanged(self):
+        status, fields, body = self.call("/post/a?b=c", "POST", b"\0\1payload", **{"X-Kept": "1", "Tenant": "other"})
+        self.assertEqual((status, body), (200, WHOLE))
+        self.assertIn(fields["Response-Signature"], ("app-0", "app-1"))
+        (seen,) = self.requests(self.app)
+        self.assertEqual((seen["method"], seen["target"], seen["body"]), ("POST", "/post/a?b=c", b"\0\1payload"))
+        self.assertEqual(seen["fields"]["x-kept"], "1")
+        self.assertEqual(seen["fields"]["tenant"], "w1")
+        self.assertEqual(seen["fields"]["expected-instance"], fields["Response-Signature"])
+        self.assertLessEqual(int(seen["fields"]["deadline-milliseconds"]), 3000)
+        self.assertNotIn("authorization", seen["fields"])
+
+    def test_chunked_body_and_unframed_answer_pass(self):
+        for each in self.app:
+            each.script = ["unframed"]
+        connection = http.client.HTTPConnection(self.gateway.host, self.gateway.port, timeout=10)
+        connection.request("POST", "/get/x", iter([b"one", b"two"]),
+                           {"Host": "h.example", "Attempt-Id": "c1", "Authorization": f"Bearer {KEY}"},
+                           encode_chunked=True)
+        self.assertEqual(connection.getresponse().read(), b"unframed")
+        self.assertEqual(self.requests(self.app)[0]["body"], b"onetwo")
+
+    def test_unknown_routes_and_keys_are_refused(self):
+        self.assertEqual(self.call("/none/x")[0], 404)
+        self.assertEqual(self.call("/get/x", key="other")[0], 401)
+        self.assertEqual(self.call("/get/x", key=None)[0], 401)
+        self.assertEqual(self.call("/open/x", key=None)[0], 200)
+        self.assertEqual(len(self.requests(self.app)), 1)
+
+    # Failures of replicas.
+
+    def test_non_idempotent_call_is_never_sent_twice(self):
+        for behaviour in ("reset", "truncate", "unsigned", "error"):
+            self.share_script(self.app, [behaviour])
+            status, _, _ = self.call("/post/x", "POST", b"drop")
+            self.assertIn(status, (500, 502), behaviour)
+            self.assertEqual(len(self.requests(self.app)), 1, behaviour)
+
+    def test_refused_call_goes_to_another_replica_and_is_refused_truly(self):
+        self.app[0].script = self.app[1].script = ["refuse"]
+        status, fields, _ = self.call("/post/x", "POST", b"drop")
+        self.assertEqual(status, 503)
+        self.assertGreaterEqual(float(fields["Retry-After"]), 0)
+        self.assertEqual([r["behaviour"] for r in self.requests(self.app)], ["refuse"] * 2)
+
+    def test_idempotent_call_is_repeated(self):
+        for behaviour in ("reset", "truncate", "unsigned", "error", "refuse"):
+            # Whichever replica comes first fails; the other one answers.
+            self.share_script(self.app, [behaviour, "ok"])
+            self.assertEqual(self.call("/get/x")[::2], (200, WHOLE), behaviour)
+            self.assertEqual(len(self.requests(self.app)), 2, behaviour)
+
+    def test_answer_to_another_request_is_skipped(self):
+        for each in self.app:
+            each.script = ["foreign"]
+        self.assertEqual(self.call("/post/x", "POST", b"drop")[::2], (200, WHOLE))
+
+    def test_timeout_of_the_route_is_answered_in_time(self):
+        for each in self.app:
+            each.script = ["mute"]
+        begin = time.monotonic()
+        self.assertEqual(self.call("/short/x", "POST", b"drop")[0], 504)
+        self.assertGreater(time.monotonic() - begin, 0.35)
+        self.assertEqual(len(self.requests(self.app)), 1)
+
+    # Streams.
+
+    def test_stream_passes_whole(self):
+        status, fields, body = self.stream()
+        self.assertEqual((status, body), (200, EVENTS))
+        self.assertIn(fields["Response-Signature"], ("llm-0", "llm-1"))
+
+    def test_broken_stream_goes_on_after_the_last_whole_event(self):
+        self.share_script(self.llm, ["cut", "events"])
+        status, fields, body = self.stream()
+        self.assertEqual((status, body), (200, EVENTS))
+        first = next(each for each in self.llm if each.requests[0]["behaviour"] == "cut")
+        (resumed,) = (each for each in self.llm if each is not first)
+        self.assertEqual(resumed.requests[0]["fields"]["last-event-id"], "2")
+        self.assertEqual(fields["Response-Signature"], first.identity)
+
+    def test_stream_that_breaks_at_all_replicas_looks_incomplete(self):
+        self.share_script(self.llm, ["cut"])
+        self.assertEqual(self.stream()[0], 0)
+        self.assertEqual(len(self.requests(self.llm)), 2)
+
+    def test_caller_that_leaves_ends_the_run(self):
+        for each in self.llm:
+            each.event_pause = 0.5
+        with socket.create_connection((self.gateway.host, self.gateway.port)) as peer:
+            peer.sendall(b"POST /stream/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: gone\r\n"
+                         b"Token-Counts: 5000,300\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n")
+            peer.recv(10)
+        running = [each for each in self.llm if each.requests]
+        self.assertTrue(running[0].closed_by_caller.wait(3))
+
+    # Bad input.
+
+    def test_malformed_requests_get_a_clear_answer(self):
+        head = b"POST /post/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key-1\r\n"
+        cases = {
+            b"two lengths": (head + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", b"400"),
+            b"length and chunks": (head + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", b"400"),
+            b"null byte": (head + b"X: a\0b\r\n\r\n", b"400"),
+            b"no request": (b"nonsense\r\n\r\n", b"400"),
+            b"large head": (head + b"X: " + b"a" * 9000 + b"\r\n\r\n", b"431"),
+            b"large body": (head + b"Content-Length: 200000\r\n\r\n", b"413"),
+            b"slow head": (head, b"408"),
+        }
+        for name, (text, status) in cases.items():
+            self.assertEqual(self.raw(text).split(b" ")[1:2], [status], name)
+        self.assertEqual(self.requests(self.app), [])
+        self.assertEqual(self.call("/get/x")[0], 200)
+
+    # Configuration and endpoints.
+
+    def test_newer_configuration_comes_into_force_and_older_never(self):
+        self.store.put("op", "config", make_config(9, [route("/new/", "idempotent", "app")], ["key-2"]))
+        self.wait_for(lambda: self.call("/new/x", key="key-2")[0] == 200, "version 9")
+        self.assertEqual(self.call("/get/x", key="key-2")[0], 404)
+        self.assertEqual(self.call("/new/x")[0], 401)
+        self.store.put("op", "config", make_config(5))
+        time.sleep(1)
+        self.assertEqual(self.call("/new/x", key="key-2")[0], 200)
+        self.store.forget_history()
+        self.store.put("op", "config", make_config(11))
+        self.wait_for(lambda: self.call("/get/x")[0] == 200, "version 11 after lost history")
+
+    def test_leaving_replicas_and_zones_get_no_requests(self):
+        self.store.put("servers", "app-0", self.app[0].entry("app", "draining"))
+        self.store.put("servers", "junk", {"service": "app", "address": 5})
+        self.store.put("servers", "bytes", b"\xff\xfe")
+        self.wait_for(lambda: b"endpoint=bytes" in self.gateway.log_path.read_bytes(), "the rows are read")
+        for _ in range(10):
+            self.assertEqual(self.call("/get/x")[0], 200)
+        self.assertEqual(len(self.app[0].requests), 0)
+        self.store.put("op", "evacuate/za", {})
+        self.wait_for(lambda: self.call("/get/x")[0] == 503, "the zone is out")
+        count = len(self.requests(self.app))
+        self.assertEqual(self.call("/get/x")[0], 503)
+        self.assertEqual(len(self.requests(self.app)), count)
+        self.store.remove("op", "evacuate/za")
+        self.wait_for(lambda: self.call("/get/x")[0] == 200, "the zone is back")
+
+    def test_requests_are_served_while_the_store_is_away(self):
+        self.store.mode = "busy"
+        self.assertEqual(self.call("/get/x")[0], 200)
+        self.assertTrue(self.gateway.is_ready())
+        self.wait_for(lambda: b"event=store_lost" in self.gateway.log_path.read_bytes(), "the loss is logged", 30)
+        self.store.mode = "ok"
+        self.wait_for(lambda: b"event=store_regained" in self.gateway.log_path.read_bytes(), "the return is logged")
+
+    # Stop.
+
+    def test_stop_ends_streams_and_reports_not_ready(self):
+        for each in self.llm:
+            each.event_pause = 0.3
+        with socket.create_connection((self.gateway.host, self.gateway.port), timeout=20) as peer:
+            peer.sendall(b"POST /stream/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: last\r\n"
+                         b"Token-Counts: 5000,300\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n")
+            answer = peer.recv(10)
+            self.gateway.process.send_signal(signal.SIGTERM)
+            self.gateway.process.send_signal(signal.SIGTERM)
+            self.wait_for(lambda: not self.gateway.is_ready(), "not ready")
+            self.assertEqual(self.call("/get/x")[0], 200)
+            while piece := peer.recv(65536):
+                answer += piece
+        self.assertIn(b"token 6", answer)
+        self.assertTrue(answer.endswith(b"0\r\n\r\n"))
+        self.assertEqual(self.gateway.process.wait(20), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/standins/users_platform/replica.py
@@ -0,0 +1,127 @@
+"""Stand-in for a replica of the users' platform.
+
+Each request is recorded; `script` decides what it gets, in turn; the last
+entry repeats."""
+
+import socket
+import threading
+import time
+
+
+def read_head(reader):
+    """Request line and header fields (names in lower case); None at the end."""
+    line = reader.readline()
+    if not line:
+        return None
+    fields = {}
+    while True:
+        field = reader.readline().rstrip(b"\r\n")
+        if not field:
+            return line.decode().split(), fields
+        name, value = field.decode().split(":", 1)
+        fields[name.lower()] = value.strip()
+
+
+class Replica:
+    """Behaviours of `script`: "ok", "events", "cut" (in the middle of an event),
+    "reset" (after the request was read), "refuse" (not run), "truncate",
+    "unsigned", "foreign" (an answer to another request first), "mute",
+    "error" (its own 500), "unframed" (ends with its connection)."""
+
+    def __init__(self, identity):
+        self.identity, self.script, self.requests = identity, ["ok"], []
+        self.closed_by_caller = threading.Event()
+        self.event_pause = 0.02
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def entry(self, service, state="ready", **changes):
+        return {"service": service, "address": f"127.0.0.1:{self.port}", "zone": "za", "version": "v1",
+                "slots": 16, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1000, **changes}
+
+    def close(self):
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection):
+        reader = connection.makefile("rb")
+        try:
+            while True:
+                head = read_head(reader)
+                if head is None:
+                    self.closed_by_caller.set()
+                    return
+                (method, target, _), fields = head
+                body = reader.read(int(fields.get("content-length", 0)))
+                behaviour = self.script.pop(0) if len(self.script) > 1 else self.script[0]
+                self.requests.append({"method": method, "target": target, "fields": fields,
+                                      "body": body, "behaviour": behaviour})
+                if not self._answer(connection, fields, behaviour):
+                    return
+        except OSError:
+            self.closed_by_caller.set()
+        finally:
+            reader.close()
+            connection.close()
+
+    def _head(self, status, fields, extra, attempt=None):
+        lines = [f"HTTP/1.1 {status}", f"Attempt-Id: {attempt or fields.get('attempt-id', '')}"]
+        return ("\r\n".join(lines + extra) + "\r\n\r\n").encode()
+
+    def _whole(self, fields, body=b"whole body", attempt=None, status="200 OK"):
+        return self._head(status, fields, [f"Response-Signature: {self.identity}",
+                                           f"Content-Length: {len(body)}"], attempt) + body
+
+    def _answer(self, connection, fields, behaviour):
+        """Returns whether the connection stays open."""
+        if behaviour == "ok":
+            connection.sendall(self._whole(fields))
+        elif behaviour == "error":
+            connection.sendall(self._whole(fields, b"failed", status="500 Internal Server Error"))
+        elif behaviour == "foreign":
+            connection.sendall(self._whole(fields, b"of another", "another") + self._whole(fields))
+        elif behaviour == "refuse":
+            connection.sendall(self._head("503 Busy", fields, ["Not-Executed: 1", "Content-Length: 0"]))
+        elif behaviour == "unsigned":
+            connection.sendall(self._head("200 OK", fields, ["Content-Length: 2"]) + b"no")
+        elif behaviour == "truncate":
+            connection.sendall(self._whole(fields)[:-4])
+            return False
+        elif behaviour == "unframed":
+            connection.sendall(self._head("200 OK", fields, [f"Response-Signature: {self.identity}"]) + b"unframed")
+            return False
+        elif behaviour == "reset":
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            return False
+        elif behaviour == "mute":
+            if not connection.recv(1):
+                self.closed_by_caller.set()
+            return False
+        elif behaviour in ("events", "cut"):
+            return self._stream(connection, fields, behaviour == "cut")
+        return True
+
+    def _stream(self, connection, fields, cut):
+        """Six events; the ids go on after Last-Event-Id."""
+        connection.sendall(self._head("200 OK", fields, [f"Response-Signature: {self.identity}",
+                                                         "Content-Type: text/event-stream",
+                                                         "Transfer-Encoding: chunked"]))
+        first = int(fields.get("last-event-id", 0)) + 1
+        for number in range(first, 7):
+            event = f"id: {number}\ndata: token {number}\n\n".encode()
+            if cut and number == 3:
+                event = event[:9]
+            connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+            if cut and number == 3:
+                return False
+            time.sleep(self.event_pause)
+        connection.sendall(b"0\r\n\r\n")
+        return True
--- /dev/null
+++ b/tests/standins/users_platform/store.py
@@ -0,0 +1,131 @@
+"""Stand-in for the store of the users' platform: rows, long polls, failures."""
+
+import base64
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlparse
+
+
+class Store:
+    """Rows by (table, key). `mode` makes it fail: "ok", "busy" or "silent"."""
+
+    def __init__(self):
+        self.mode = "ok"
+        self._rows = {}
+        self._version = 0
+        self._forgotten = 0
+        self._changed = threading.Condition()
+        store = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def do_GET(self):
+                store._serve(self)
+
+            def do_POST(self):
+                store._serve(self)
+
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self._server.daemon_threads = True
+        self.port = self._server.server_port
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def put(self, table, key, value):
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self._changed:
+            self._version += 1
+            self._rows[table, key] = {"value": raw, "version": self._version, "gone": False}
+            self._changed.notify_all()
+
+    def remove(self, table, key):
+        with self._changed:
+            self._version += 1
+            self._rows[table, key] = {"value": b"", "version": self._version, "gone": True}
+            self._changed.notify_all()
+
+    def forget_history(self):
+        """Later long polls from before now are told that the history is gone."""
+        with self._changed:
+            self._rows = {k: r for k, r in self._rows.items() if not r["gone"]}
+            self._version += 1
+            self._forgotten = self._version
+            self._changed.notify_all()
+
+    def close(self):
+        self._server.shutdown()
+        self._server.server_close()
+
+    def _describe(self, table, key, row):
+        result = {"table": table, "part": "", "key": key, "rowVersion": row["version"]}
+        if row["gone"]:
+            result["tombstone"] = True
+        else:
+            result["value"] = base64.b64encode(row["value"]).decode()
+        return result
+
+    def _select(self, table, after, with_gone):
+        return [
+            self._describe(t, k, r)
+            for (t, k), r in sorted(self._rows.items(), key=lambda item: item[1]["version"])
+            if t == table and r["version"] > after and (with_gone or not r["gone"])
+        ]
+
+    def _serve(self, call):
+        length = int(call.headers.get("Content-Length", 0))
+        body = call.rfile.read(length)
+        if self.mode == "silent":
+            time.sleep(30)
+            return
+        if self.mode == "busy":
+            self._reply(call, 503, {})
+            return
+        url = urlparse(call.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if url.path == "/rows-get":
+            with self._changed:
+                rows = sorted(self._select(query["table"], 0, False), key=lambda r: r["key"])
+                self._reply(call, 200, {"rows": rows, "morePages": False, "rowVersion": self._version})
+        elif url.path == "/rows-feed":
+            self._follow(call, query)
+        elif url.path == "/rows-tx":
+            for write in json.loads(body)["writes"]:
+                self.put(write["table"], write["key"], base64.b64decode(write["value"]))
+            self._reply(call, 200, {"rowVersion": self._version})
+        else:
+            self._reply(call, 404, {})
+
+    def _follow(self, call, query):
+        after = int(query["afterRevision"])
+        end = time.monotonic() + int(query["waitMs"]) / 1000
+        with self._changed:
+            while True:
+                if after < self._forgotten:
+                    status, answer = 410, {}
+                    break
+                rows = self._select(query["table"], after, True)
+                left = end - time.monotonic()
+                if rows or left <= 0:
+                    status, answer = 200, {"rows": rows, "rowVersion": self._version}
+                    break
+                self._changed.wait(left)
+        if self.mode == "busy":
+            status, answer = 503, {}
+        self._reply(call, status, answer)
+
+    @staticmethod
+    def _reply(call, status, answer):
+        text = json.dumps(answer).encode()
+        try:
+            call.send_response(status)
+            call.send_header("Content-Type", "application/json")
+            call.send_header("Content-Length", str(len(text)))
+            call.end_headers()
+            call.wfile.write(text)
+        except OSError:
+            pass  # the caller is gone
