--- a/apps/cassiashed/main.cpp
+++ b/apps/cassiashed/main.cpp
@@ -2,6 +2,7 @@
 #include "cassiashed/admin/check.h"
 #include "cassiashed/admin/drain.h"
 #include "cassiashed/admin/exit_code.h"
+#include "cassiashed/admin/explain.h"
 #include "cassiashed/admin/status.h"
 #include "cassiashed/admin/zone.h"
 #include "cassiashed/base/event_log.h"
@@ -99,6 +100,15 @@
   return checkFile(readArgument(Values, "FILE"), std::cout, std::cerr);
 }
 
+int runExplain(const po::variables_map &Values) {
+  std::vector<std::string> Files;
+  if (Values.count("FILE") != 0)
+    Files = Values["FILE"].as<std::vector<std::string>>();
+  if (Files.empty())
+    throw UsageError("FILE is missing");
+  return explainFiles(readArgument(Values, "ID"), Files, std::cout, std::cerr);
+}
+
 int runStatus(const po::variables_map &Values) {
   return showStatus(makeNodeOptions(readConnection(Values)),
                     Values.count("json") != 0, std::cout, std::cerr);
@@ -163,6 +173,15 @@
             runApply},
     Command{"check", "FILE", "check a settings or deployment file",
             [](CommandLine &Line) { Line.addArgument("FILE"); }, runCheck},
+    Command{"explain", "ID FILE...",
+            "collect what the gateways' logs say of one request",
+            [](CommandLine &Line) {
+              Line.addArgument("ID");
+              Line.Arguments.add_options()(
+                  "FILE", po::value<std::vector<std::string>>());
+              Line.Positions.add("FILE", -1);
+            },
+            runExplain},
     Command{"status", "[--node IP:PORT] [--json]",
             "show nodes, endpoints, zones and versions as one node sees them",
             [](CommandLine &Line) {
