Bound the lengths in messages between nodes

Cause: a datagram with a forged length made msgpack allocate without bound; the exception (bad_alloc) was not caught and ended the process. Change: one unpack function for both decoders limits every length to the size of the message and catches what is left.

--- a/src/gateway/gateway_parts_test.cpp
+++ b/src/gateway/gateway_parts_test.cpp
@@ -80,6 +80,11 @@
 }
 
 TEST_CASE("no bytes make the decoders of node messages fail") {
+  std::string Why;
+  // An array of 1.6 billion entries in five bytes ended the process.
+  CHECK_FALSE(unpackMessage("\xDF"
+                            "aaaa",
+                            Why));
   CHECK(rc::check([](const std::string &Bytes) {
     std::string Reason;
     (void)unpackMessage(Bytes, Reason);
--- a/src/gateway/node_messages.cpp
+++ b/src/gateway/node_messages.cpp
@@ -1,5 +1,7 @@
 #include "gateway/node_messages.h"
 
+#include "gateway/packed.h"
+
 namespace cassiashed::gateway {
 
 WorkStarted describeWork(const balancing::Assignment &Work) {
@@ -40,28 +42,16 @@
   return Work;
 }
 
-std::string packMessage(const NodeMessage &Message) {
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Message);
-  return std::string(Buffer.data(), Buffer.size());
-}
+std::string packMessage(const NodeMessage &Message) { return pack(Message); }
 
 std::optional<NodeMessage> unpackMessage(std::string_view Bytes,
                                          std::string &Reason) {
-  try {
-    const msgpack::object_handle Handle =
-        msgpack::unpack(Bytes.data(), Bytes.size());
-    NodeMessage Message;
-    Handle.get().convert(Message);
-    if (Message.Format == NodeMessageFormat)
-      return Message;
-    Reason = "format " + std::to_string(Message.Format) + " is not supported";
-  } catch (const msgpack::unpack_error &Failure) {
-    Reason = Failure.what();
-  } catch (const msgpack::type_error &Failure) {
-    Reason = Failure.what();
+  std::optional<NodeMessage> Message = unpack<NodeMessage>(Bytes, Reason);
+  if (Message && Message->Format != NodeMessageFormat) {
+    Reason = "format " + std::to_string(Message->Format) + " is not supported";
+    return std::nullopt;
   }
-  return std::nullopt;
+  return Message;
 }
 
 } // namespace cassiashed::gateway
--- a/src/gateway/row_messages.cpp
+++ b/src/gateway/row_messages.cpp
@@ -1,7 +1,7 @@
 #include "gateway/row_messages.h"
 
+#include "gateway/packed.h"
 #include <cstdint>
-#include <msgpack.hpp>
 
 namespace cassiashed::gateway {
 namespace {
@@ -21,29 +21,21 @@
   Messages.reserve(Rows.size());
   for (const catalog::Row &Each : Rows)
     Messages.push_back({Each.Key, Each.Value, Each.Version, Each.Removed});
-  msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer, Messages);
-  return std::string(Buffer.data(), Buffer.size());
+  return pack(Messages);
 }
 
 std::optional<std::vector<catalog::Row>> unpackRows(std::string_view Bytes,
                                                     std::string &Reason) {
-  try {
-    const msgpack::object_handle Handle =
-        msgpack::unpack(Bytes.data(), Bytes.size());
-    std::vector<RowMessage> Messages;
-    Handle.get().convert(Messages);
-    std::vector<catalog::Row> Rows;
-    for (RowMessage &Each : Messages)
-      Rows.push_back({std::move(Each.Key), std::move(Each.Value), Each.Version,
-                      Each.Removed});
-    return Rows;
-  } catch (const msgpack::unpack_error &Failure) {
-    Reason = Failure.what();
-  } catch (const msgpack::type_error &Failure) {
-    Reason = Failure.what();
-  }
-  return std::nullopt;
+  std::optional<std::vector<RowMessage>> Messages =
+      unpack<std::vector<RowMessage>>(Bytes, Reason);
+  if (!Messages)
+    return std::nullopt;
+  std::vector<catalog::Row> Rows;
+  Rows.reserve(Messages->size());
+  for (RowMessage &Each : *Messages)
+    Rows.push_back({std::move(Each.Key), std::move(Each.Value), Each.Version,
+                    Each.Removed});
+  return Rows;
 }
 
 } // namespace cassiashed::gateway
