Doubt endpoints that are silent before their requests time out

Change: an endpoint that owes an answer and was not heard for 0.9 s beyond the prediction comes into doubt; a failed connection or a silent attempt is told to the other nodes. Test: shares_test, 'an endpoint that owes answers'.

--- a/include/cassiashed/balancing/endpoint_health.h
+++ b/include/cassiashed/balancing/endpoint_health.h
@@ -10,11 +10,12 @@
 /// endpoint.
 enum class EndpointOutcome {
   Answered,
-  FailedAnswer, ///< the endpoint's own 5xx
-  Refused,      ///< not run: full or ending
-  Broken,       ///< reset, truncated or garbled
-  Silent,       ///< no answer in time
-  Unreachable,  ///< no connection
+  FailedAnswer,   ///< the endpoint's own 5xx
+  Refused,        ///< not run: full or ending
+  Broken,         ///< reset, truncated or garbled
+  Silent,         ///< no answer in time
+  Unreachable,    ///< no connection
+  ReportedSilent, ///< another node got no answer or no connection
 };
 
 struct EndpointHealthOptions {
@@ -22,7 +23,12 @@
   double FailureWeight = 0.5;      ///< doubt added by a broken answer
   double SilenceWeight = 1.0;      ///< doubt added by silence
   double RefusalWeight = 0.15;     ///< doubt added by a refusal
+  double ReportWeight = 0.5;       ///< doubt added by another node's report
   Duration UnreachablePause{1500}; ///< no requests after a failed connection
+  /// An endpoint that owes an answer is heard at least this often.
+  Duration QuietLimit{900};
+  /// Doubt per second of silence beyond that.
+  double QuietWeight = 3;
 };
 
 /// Doubts about endpoints, from this node's own requests. Load: replicas that
@@ -34,6 +40,10 @@
       : Options_(Options) {}
 
   void note(std::uint32_t Number, EndpointOutcome Outcome, TimePoint Now);
+  /// A request was sent whose first byte is expected within `Expected`.
+  void noteSent(std::uint32_t Number, Duration Expected, TimePoint Now);
+  /// Bytes of an answer arrived; `OwesMore` if other requests still wait.
+  void noteHeard(std::uint32_t Number, bool OwesMore, TimePoint Now);
   /// 0: none; about 1: the next request will probably fail.
   double doubt(std::uint32_t Number, TimePoint Now) const;
   /// Whether the endpoint should get no request at all for now.
@@ -45,6 +55,7 @@
     double Doubt = 0;
     TimePoint At;
     TimePoint PausedUntil;
+    TimePoint HeardBy = TimePoint::max(); ///< silence beyond it is suspicious
   };
   double decayed(const Record &Entry, TimePoint Now) const;
 
--- a/src/balancing/endpoint_health.cpp
+++ b/src/balancing/endpoint_health.cpp
@@ -35,6 +35,9 @@
   case EndpointOutcome::Refused:
     Entry.Doubt += Options_.RefusalWeight;
     break;
+  case EndpointOutcome::ReportedSilent:
+    Entry.Doubt += Options_.ReportWeight;
+    break;
   case EndpointOutcome::Silent:
     Entry.Doubt += Options_.SilenceWeight;
     break;
@@ -46,9 +49,29 @@
   Entry.Doubt = std::min(Entry.Doubt, MaxDoubt);
 }
 
+void EndpointHealth::noteSent(std::uint32_t Number, Duration Expected,
+                              TimePoint Now) {
+  Record &Entry = Records_[Number];
+  if (Entry.HeardBy == TimePoint::max())
+    Entry.HeardBy = Now + Expected + Options_.QuietLimit;
+}
+
+void EndpointHealth::noteHeard(std::uint32_t Number, bool OwesMore,
+                               TimePoint Now) {
+  Record &Entry = Records_[Number];
+  Entry.HeardBy = OwesMore ? Now + Options_.QuietLimit : TimePoint::max();
+}
+
 double EndpointHealth::doubt(std::uint32_t Number, TimePoint Now) const {
   const auto Found = Records_.find(Number);
-  return Found == Records_.end() ? 0 : decayed(Found->second, Now);
+  if (Found == Records_.end())
+    return 0;
+  double Result = decayed(Found->second, Now);
+  if (Found->second.HeardBy < Now)
+    Result +=
+        Options_.QuietWeight *
+        std::chrono::duration<double>(Now - Found->second.HeardBy).count();
+  return std::min(Result, MaxDoubt);
 }
 
 bool EndpointHealth::isPaused(std::uint32_t Number, TimePoint Now) const {
--- a/src/balancing/shares_test.cpp
+++ b/src/balancing/shares_test.cpp
@@ -104,6 +104,20 @@
   CHECK_FALSE(History.isRefused(7, Start));
 }
 
+// Guards against an endpoint that went dark and keeps getting requests until
+// the first of them runs into its time limit.
+TEST_CASE("an endpoint that owes answers and is silent comes into doubt") {
+  EndpointHealth Health;
+  Health.noteSent(1, milliseconds(100), Start);
+  CHECK(Health.doubt(1, Start + milliseconds(500)) == 0);
+  CHECK(Health.doubt(1, Start + milliseconds(1500)) > 1);
+  Health.noteHeard(1, true, Start + milliseconds(1500));
+  CHECK(Health.doubt(1, Start + milliseconds(2000)) == 0);
+  CHECK(Health.doubt(1, Start + milliseconds(3000)) > 1);
+  Health.noteHeard(1, false, Start + milliseconds(3000));
+  CHECK(Health.doubt(1, Start + milliseconds(9000)) == 0);
+}
+
 TEST_CASE("doubt about an endpoint fades and an answer lowers it") {
   EndpointHealth Health;
   Health.note(1, EndpointOutcome::Broken, Start);
--- a/src/gateway/endpoint_pool.cpp
+++ b/src/gateway/endpoint_pool.cpp
@@ -125,6 +125,12 @@
   }
 }
 
+int EndpointPool::busyCount(std::uint32_t Number) const {
+  const auto Found = Idle_.find(Number);
+  const auto Idle = Found == Idle_.end() ? 0 : Found->second.size();
+  return openCount(Number) - static_cast<int>(Idle);
+}
+
 int EndpointPool::openCount(std::uint32_t Number) const {
   const auto Found = Open_.find(Number);
   return Found == Open_.end() ? 0 : Found->second;
--- a/src/gateway/endpoint_pool.h
+++ b/src/gateway/endpoint_pool.h
@@ -48,6 +48,8 @@
 
   /// Connections to an endpoint, idle ones included.
   int openCount(std::uint32_t Number) const;
+  /// Connections to an endpoint that carry a request.
+  int busyCount(std::uint32_t Number) const;
   std::size_t openTotal() const { return OpenTotal_; }
 
 private:
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -423,6 +423,7 @@
     if (!Link) {
       State_.Health.note(Peer->Number, EndpointOutcome::Unreachable,
                          State_.now());
+      State_.Nodes->announceSilence(Peer->Entry.Id);
       State_.confirmCrashes(*Peer);
     }
   }
@@ -470,6 +471,10 @@
   if (Peer->ColdUntil > Now)
     State_.Cold.noteSent(Peer->Number, Now);
   SentAt_ = Now;
+  State_.Health.noteSent(
+      Peer->Number,
+      Duration(static_cast<Duration::rep>(std::min(1e6, Chosen.FirstTokenMs))),
+      Now);
   State_.Log.write("attempt_sent", Now, [&](LogLine &Line) {
     Line.field("id", Head_.AttemptId)
         .field("attempt", Sends_)
@@ -523,7 +528,9 @@
   State_.Health.note(
       Peer->Number, Silent_ ? EndpointOutcome::Silent : EndpointOutcome::Broken,
       Now);
-  if (!Silent_)
+  if (Silent_)
+    State_.Nodes->announceSilence(Peer->Entry.Id);
+  else
     State_.BrokenRuns.push_back({Content_, Peer, Now});
 }
 
@@ -725,6 +732,8 @@
     }
     Count = Piece.size() - Parser.get().body().size;
   }
+  State_.Health.noteHeard(Link.Number, State_.Pool.busyCount(Link.Number) > 1,
+                          State_.now());
   Piece.resize(Count);
   co_return true;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -104,6 +104,13 @@
     Events.Crash = [this](const CrashNote &Note) {
       State_.Crashes.noteCrash(Note.Content, Note.EndpointId, State_.now());
     };
+    Events.EndpointSilent = [this](const std::string &Id) {
+      const catalog::EndpointRef Known = State_.Directory.find(Id);
+      if (Known)
+        State_.Health.note(Known->Number,
+                           balancing::EndpointOutcome::ReportedSilent,
+                           State_.now());
+    };
     Events.NodeLost = [this](std::uint32_t Origin) {
       State_.Load.finishAllOf(Origin, State_.now());
     };
--- a/src/gateway/node_messages.h
+++ b/src/gateway/node_messages.h
@@ -65,12 +65,14 @@
   std::vector<std::uint64_t> FirstTokens;
   std::vector<std::uint64_t> Finished;
   std::vector<CrashNote> Crashes;
+  /// Endpoints that did not answer the sender just now, by id.
+  std::vector<std::string> SilentEndpoints;
   /// Addresses of nodes that the sender hears, for those that cannot read the
   /// nodes' table.
   std::vector<std::string> KnownNodes;
   MSGPACK_DEFINE(Format, Node, Incarnation, OperatorRow, EndpointRow, Following,
                  EndpointRows, Started, FirstTokens, Finished, Crashes,
-                 KnownNodes)
+                 SilentEndpoints, KnownNodes)
 };
 
 WorkStarted describeWork(const balancing::Assignment &Work);
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -134,6 +134,10 @@
     flush();
   }
 
+  void announceSilence(const std::string &EndpointId) override {
+    Pending_.SilentEndpoints.push_back(EndpointId);
+    flush();
+  }
   void announceEndpointRows(const std::vector<catalog::Row> &Rows) override {
     std::size_t Bytes = 0;
     for (const catalog::Row &Each : Rows) {
@@ -234,6 +238,8 @@
       Events_.WorkFinished(Id);
     for (const CrashNote &Note : Message->Crashes)
       Events_.Crash(Note);
+    for (const std::string &Id : Message->SilentEndpoints)
+      Events_.EndpointSilent(Id);
     if (!Message->EndpointRows.empty()) {
       std::vector<catalog::Row> Rows;
       for (const EndpointRowNews &Each : Message->EndpointRows)
@@ -323,13 +329,14 @@
   void flush() {
     if (Pending_.Started.empty() && Pending_.FirstTokens.empty() &&
         Pending_.Finished.empty() && Pending_.Crashes.empty() &&
-        Pending_.EndpointRows.empty())
+        Pending_.EndpointRows.empty() && Pending_.SilentEndpoints.empty())
       return;
     NodeMessage Message = makeMessage();
     Message.Started.swap(Pending_.Started);
     Message.FirstTokens.swap(Pending_.FirstTokens);
     Message.Finished.swap(Pending_.Finished);
     Message.Crashes.swap(Pending_.Crashes);
+    Message.SilentEndpoints.swap(Pending_.SilentEndpoints);
     Message.EndpointRows.swap(Pending_.EndpointRows);
     const std::string Bytes = packMessage(Message);
     const TimePoint Now = std::chrono::steady_clock::now();
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -29,6 +29,7 @@
   std::function<void(std::uint64_t Id)> FirstToken;
   std::function<void(std::uint64_t Id)> WorkFinished;
   std::function<void(const CrashNote &)> Crash;
+  std::function<void(const std::string &EndpointId)> EndpointSilent;
   /// A node was replaced or fell silent; its work ended or goes unreported.
   std::function<void(std::uint32_t Origin)> NodeLost;
   /// Rows of the endpoints' table that a node read from the store.
@@ -58,6 +59,7 @@
   virtual void announceFirstToken(std::uint64_t Id) = 0;
   virtual void announceFinish(std::uint64_t Id) = 0;
   virtual void announceCrash(const CrashNote &Note) = 0;
+  virtual void announceSilence(const std::string &EndpointId) = 0;
   virtual void announceEndpointRows(const std::vector<catalog::Row> &Rows) = 0;
 
   /// Nodes that may be running, this one included: known by name or heard.
