--- a/apps/cassiashed/usage_test.sh
+++ b/apps/cassiashed/usage_test.sh
@@ -29,7 +29,10 @@
 expectCode 2 status --node 127.0.0.1:1
 expectCode 1 check /nonexistent
 expectCode 1 node --settings /nonexistent
-for Command in node apply check status zone drain version; do
+expectCode 2 explain
+expectCode 1 explain id /nonexistent
+expectCode 1 gateway --settings /nonexistent
+for Command in node gateway apply check explain status zone drain version; do
   expectCode 0 "$Command" --help
   "$Program" "$Command" --help | grep -q 'Exit codes: 0 success, 1 refused' || {
     echo "cassiashed $Command --help does not state the exit codes"
--- a/src/admin/check.cpp
+++ b/src/admin/check.cpp
@@ -3,6 +3,7 @@
 #include "admin/file.h"
 #include "cassiashed/admin/exit_code.h"
 #include "cassiashed/config/deployment.h"
+#include "cassiashed/config/gateway_settings.h"
 #include "cassiashed/config/settings.h"
 #include "cassiashed/text/ini.h"
 #include <algorithm>
@@ -22,13 +23,15 @@
   return std::find(Names.begin(), Names.end(), Name) != Names.end();
 }
 
-enum class FileKind { Unclear, Settings, Deployment };
+enum class FileKind { Unclear, Settings, GatewaySettings, Deployment };
 
 /// The kind that more sections belong to, so that one misspelt section does
 /// not decide.
 FileKind findKind(std::string_view Text) {
   int Balance = 0;
+  bool IsGateway = false;
   readIni(Text, {[&](IniSection &Section) {
+                   IsGateway = IsGateway || Section.Name == "gateway";
                    const std::string_view Type =
                        std::string_view(Section.Name)
                            .substr(0, Section.Name.find_first_of(" \t"));
@@ -36,6 +39,8 @@
                    Balance -= contains(SettingsSections, Type) ? 1 : 0;
                  },
                  [](int, const std::string &) {}});
+  if (IsGateway)
+    return FileKind::GatewaySettings;
   if (Balance == 0)
     return FileKind::Unclear;
   return Balance > 0 ? FileKind::Deployment : FileKind::Settings;
@@ -58,6 +63,8 @@
   Problems Found;
   if (Kind == FileKind::Settings)
     loadSettings(File, Found);
+  else if (Kind == FileKind::GatewaySettings)
+    parseGatewaySettings(*Text, File, Found);
   else
     parseDeployment(*Text, File, Found);
   if (!Found.empty()) {
@@ -65,7 +72,7 @@
     return ExitFailed;
   }
   Out << File << ": valid "
-      << (Kind == FileKind::Settings ? "settings" : "deployment") << "\n";
+      << (Kind == FileKind::Deployment ? "deployment" : "settings") << "\n";
   return ExitSuccess;
 }
 
