--- a/src/balancing/placement_test.cpp
+++ b/src/balancing/placement_test.cpp
@@ -116,7 +116,6 @@
 
 TEST_CASE("a short request avoids engines that read a long prompt") {
   Fleet All(2);
-  const EngineSpec Spec = makeSpec();
   PlacedPart Whole;
   Whole.PromptTokens = 133000;
   Whole.MemoryTokens = 133700;
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -12,7 +12,7 @@
 
 namespace boost::asio {
 class io_context;
-}
+} // namespace boost::asio
 
 namespace cassiashed::gateway {
 
