Release reserved memory when a request is not sent after all

Cause, found by reading: an attempt that reserved memory and then got no connection, or whose endpoint had left or caller gone, returned without a release. The reservation was renewed every second for the life of the process. Change: releaseReservations serves both ends of an attempt.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -122,6 +122,9 @@
   /// Whether a request that would be late lets others go first.
   bool waitsInLateLane(const Dispatch &Chosen, TimePoint Now);
   http::Task<bool> reserve(const Dispatch &Chosen);
+  /// Gives reserved memory back. Every attempt ends with it, sent or not:
+  /// reservations are renewed until they are released.
+  void releaseReservations();
   http::Task<LinkRef> openLink(const EndpointRef &Peer);
   http::Task<AttemptEnd> attempt(const Dispatch &Chosen);
   http::Task<AttemptEnd> receive(const Dispatch &Chosen, LinkRef &Link,
@@ -411,6 +414,13 @@
   co_return Reserved;
 }
 
+void Exchange::releaseReservations() {
+  if (!Reservations_)
+    return;
+  Reservations_->release();
+  Reservations_.reset();
+}
+
 http::Task<LinkRef> Exchange::openLink(const EndpointRef &Peer) {
   LinkRef Link;
   // A request that must not run twice gets a connection of its own: on one
@@ -545,6 +555,7 @@
   // The endpoint may have left while the connection was made.
   if (!Link || Ending_ != Ending::None || !State_.Directory.isUsable(*Peer)) {
     Wanted_.Excluded.insert(Peer->Number);
+    releaseReservations();
     co_return AttemptEnd::NotSent;
   }
   Current_ = Link.get();
@@ -567,10 +578,7 @@
   setSilenceLimit(TimePoint::max());
   Link.reset();
   finishWork();
-  if (Reservations_) {
-    Reservations_->release();
-    Reservations_.reset();
-  }
+  releaseReservations();
   State_.Metrics->countAttempt(nameOf(End));
   State_.Log.write("attempt_ended", State_.now(), [&](LogLine &Line) {
     Line.field("id", Head_.AttemptId)
