Admit added requests in the order that forecasts use

Cause, found by reading: EngineTimeline had its insertion twice. The copy in add() put urgent requests behind late ones and new parts behind half-read prompts; the one in forecast() did not. So the state of a busy engine drifted from what the forecast had promised. Change: add() calls insertInOrder. Test: engine_timeline_test, 'an urgent request that was added'; it saw 828 ms before, bound 150 ms.

--- a/src/engine/engine_timeline.cpp
+++ b/src/engine/engine_timeline.cpp
@@ -180,16 +180,7 @@
   Entry.ArrivesAt = toMs(Now) + TransitMs;
   if (Jobs_.empty())
     PassEndsAt_ = std::max(PassEndsAt_, Entry.ArrivesAt);
-  // Parts for other engines are read ahead of other prompts.
-  if (Job.OutputTokens <= 0) {
-    const auto Place =
-        std::find_if(Jobs_.begin(), Jobs_.end(), [](const Running &Other) {
-          return !Other.Decoding && Other.Job.OutputTokens > 0;
-        });
-    Jobs_.insert(Place, Entry);
-  } else {
-    Jobs_.push_back(Entry);
-  }
+  insertInOrder(Jobs_, Entry);
   BaselineLoss_ = -1;
 }
 
--- a/src/engine/engine_timeline_test.cpp
+++ b/src/engine/engine_timeline_test.cpp
@@ -114,6 +114,25 @@
   CHECK(Urgent < Behind);
 }
 
+// Guards against a state that admits in another order than the forecast.
+TEST_CASE("an urgent request that was added is admitted before late ones") {
+  EngineTimeline Engine(makeSpec());
+  TimePoint Now{std::chrono::hours(1)};
+  for (std::uint64_t Id = 1; Id <= 4; ++Id)
+    Engine.add(makeShort(Id, Now), Now);
+  EngineJob Late = makeShort(5, Now);
+  Late.Urgent = false;
+  Engine.add(Late, Now);
+  Now += milliseconds(200);
+  Engine.add(makeShort(6, Now), Now);
+  // The urgent request takes the slot; the next urgent one waits for the
+  // second slot only, not behind the late one.
+  Engine.remove(1, Now);
+  Now += milliseconds(200);
+  Engine.remove(2, Now);
+  CHECK(Engine.forecast(makeShort(7, Now), Now).FirstTokenMs < 150);
+}
+
 TEST_CASE("a prompt waits until the memory for it is free") {
   EngineTimeline Engine(makeSpec());
   TimePoint Now{std::chrono::hours(1)};
