--- a/include/cassiashed/balancing/dispatcher.h
+++ b/include/cassiashed/balancing/dispatcher.h
@@ -69,8 +69,7 @@
   std::vector<catalog::EndpointRef> candidates(const DispatchRequest &Request,
                                                TimePoint Now,
                                                DispatchFailure &Failure) const;
-  Dispatch choosePlain(const DispatchRequest &Request,
-                       const std::vector<catalog::EndpointRef> &Candidates,
+  Dispatch choosePlain(const std::vector<catalog::EndpointRef> &Candidates,
                        TimePoint Now, std::mt19937_64 &Random) const;
   Dispatch chooseEngines(const DispatchRequest &Request,
                          const std::vector<catalog::EndpointRef> &Candidates,
--- a/include/cassiashed/engine/engine_spec.h
+++ b/include/cassiashed/engine/engine_spec.h
@@ -17,7 +17,6 @@
   double PrefillPairsMs =
       0; ///< per million pairs of a token and an earlier one
   double PrefillTokensPerStep = 2048; ///< most tokens prefilled in one step
-  double HelperHopMs = 0; ///< added to each step of a request with helpers
 };
 
 /// Time to prefill the tokens from `Begin` to `End` of a prompt.
--- a/include/cassiashed/engine/engine_timeline.h
+++ b/include/cassiashed/engine/engine_timeline.h
@@ -45,17 +45,11 @@
 public:
   explicit EngineTimeline(const EngineSpec &Spec) : Spec_(Spec) {}
 
-  void setSpec(const EngineSpec &Spec) { Spec_ = Spec; }
-  /// Durations are multiplied by `Pace`; above 1 for a slow replica.
-  void setPace(double Pace) { Pace_ = Pace; }
-  double pace() const { return Pace_; }
-
   /// Work that reaches the engine after `TransitMs`.
   void add(const EngineJob &Job, TimePoint Now, double TransitMs = 0);
   void remove(std::uint64_t Id, TimePoint Now);
   /// The request produced its first token, whatever the prediction says.
   void markFirstToken(std::uint64_t Id, TimePoint Now);
-  void clear() { Jobs_.clear(); }
 
   /// Brings the state to `Now`.
   void advance(TimePoint Now);
@@ -63,10 +57,7 @@
   Forecast forecast(const EngineJob &Job, TimePoint Now, double TransitMs = 0);
 
   std::size_t jobCount() const { return Jobs_.size(); }
-  bool holds(std::uint64_t Id) const;
   double memoryInUse() const;
-  /// Jobs whose goal allows pauses shorter than `PauseMs`.
-  int jobsWithPauseBelow(double PauseMs) const;
 
 private:
   struct Running {
@@ -79,7 +70,6 @@
     bool Late = false; ///< already late; more delay costs nothing
   };
 
-  double toMs(TimePoint When) const;
   double prefillCost(const Running &Entry, double Begin, double End) const;
   /// What a simulated pass reports besides its end.
   struct PassWatch {
@@ -91,6 +81,9 @@
   /// nothing can run.
   double runPass(std::vector<Running> &Jobs, double Begin,
                  PassWatch *Watch) const;
+  /// When the next job that has not arrived at `After` does; infinity if there
+  /// is none.
+  static double nextArrival(const std::vector<Running> &Jobs, double After);
   static void insertInOrder(std::vector<Running> &Jobs, const Running &Entry);
   /// Probability that an event is late.
   static double latenessOf(double AtMs, double LimitMs, double OnTimeShare);
@@ -99,7 +92,6 @@
                 PassWatch &Watch) const;
 
   EngineSpec Spec_;
-  double Pace_ = 1;
   std::vector<Running> Jobs_;
   double PassEndsAt_ = 0;
   /// Value lost without a new job, until the state changes.
--- a/src/balancing/dispatcher.cpp
+++ b/src/balancing/dispatcher.cpp
@@ -81,11 +81,10 @@
     return Result;
   }
   return Request.Target->Engine ? chooseEngines(Request, Candidates, Now)
-                                : choosePlain(Request, Candidates, Now, Random);
+                                : choosePlain(Candidates, Now, Random);
 }
 
-Dispatch Dispatcher::choosePlain(const DispatchRequest &Request,
-                                 const std::vector<EndpointRef> &Candidates,
+Dispatch Dispatcher::choosePlain(const std::vector<EndpointRef> &Candidates,
                                  TimePoint Now, std::mt19937_64 &Random) const {
   Dispatch Result;
   std::uniform_real_distribution<double> Jitter(0, 0.1);
@@ -109,7 +108,6 @@
     return Result;
   }
   Result.Parts = {PlacedPart{}};
-  (void)Request;
   return Result;
 }
 
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -1,10 +1,9 @@
 #include "cassiashed/config/gateway_settings.h"
 
+#include "config/file_text.h"
 #include "config/key_rules.h"
 #include "config/values.h"
-#include <fstream>
 #include <set>
-#include <sstream>
 
 namespace cassiashed {
 namespace {
@@ -186,13 +185,12 @@
 
 std::optional<GatewaySettings> loadGatewaySettings(const std::string &Path,
                                                    Problems &Errors) {
-  std::ifstream Input(Path, std::ios::binary);
-  std::ostringstream Text;
-  if (!Input || !(Text << Input.rdbuf())) {
+  const std::optional<std::string> Text = readFileText(Path);
+  if (!Text) {
     Errors.push_back({Path, 0, "", "the file cannot be read", ""});
     return std::nullopt;
   }
-  return parseGatewaySettings(Text.str(), Path, Errors);
+  return parseGatewaySettings(*Text, Path, Errors);
 }
 
 } // namespace cassiashed
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -1,12 +1,10 @@
 #include "cassiashed/config/settings.h"
 
+#include "config/file_text.h"
 #include "config/key_rules.h"
 #include "config/values.h"
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
 #include <map>
-#include <sstream>
 
 namespace cassiashed {
 namespace {
@@ -237,14 +235,6 @@
   std::map<std::string_view, IniSection> Sections_;
 };
 
-std::optional<std::string> readFile(const std::filesystem::path &Path) {
-  std::ifstream Input(Path, std::ios::binary);
-  std::ostringstream Text;
-  if (!Input || !(Text << Input.rdbuf()))
-    return std::nullopt;
-  return Text.str();
-}
-
 } // namespace
 
 std::string_view nameOf(RoutingPolicy Policy) {
@@ -259,7 +249,7 @@
 
 std::optional<Settings> loadSettings(const std::string &Path,
                                      Problems &Errors) {
-  const auto Text = readFile(Path);
+  const auto Text = readFileText(Path);
   if (!Text) {
     Errors.push_back({Path, 0, "", "the file cannot be read", ""});
     return std::nullopt;
@@ -269,7 +259,7 @@
     return Result;
   const auto KeyPath =
       std::filesystem::path(Path).parent_path() / Result->Cluster.KeyFile;
-  const auto Content = readFile(KeyPath);
+  const auto Content = readFileText(KeyPath);
   const std::string Key =
       Content ? Content->substr(0, Content->find_last_not_of(" \t\r\n") + 1)
               : std::string();
--- a/src/engine/engine_timeline.cpp
+++ b/src/engine/engine_timeline.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace cassiashed::engine {
 namespace {
@@ -24,13 +25,22 @@
 /// Forecast of a first token that no simulated pass produced, in ms.
 constexpr double Never = 1e9;
 
-} // namespace
-
-double EngineTimeline::toMs(TimePoint When) const {
+double toMs(TimePoint When) {
   return std::chrono::duration<double, std::milli>(When.time_since_epoch())
       .count();
 }
 
+} // namespace
+
+double EngineTimeline::nextArrival(const std::vector<Running> &Jobs,
+                                   double After) {
+  double Next = std::numeric_limits<double>::infinity();
+  for (const Running &Entry : Jobs)
+    if (Entry.ArrivesAt > After)
+      Next = std::min(Next, Entry.ArrivesAt);
+  return Next;
+}
+
 void EngineTimeline::insertInOrder(std::vector<Running> &Jobs,
                                    const Running &Entry) {
   // Parts of prompts of other engines come first, then urgent requests.
@@ -112,7 +122,7 @@
     return Begin;
   if (Decoding == 0)
     Duration += Spec_.StepMs;
-  const double End = Begin + Duration * Pace_;
+  const double End = Begin + Duration;
   for (Running &Entry : Jobs) {
     if (!Entry.Decoding)
       continue;
@@ -159,10 +169,7 @@
     BaselineLoss_ = -1;
     if (End == PassEndsAt_) {
       // Nothing runs before the next arrival.
-      double Next = NowMs;
-      for (const Running &Entry : Jobs_)
-        if (Entry.ArrivesAt > PassEndsAt_)
-          Next = std::min(Next, Entry.ArrivesAt);
+      const double Next = std::min(NowMs, nextArrival(Jobs_, PassEndsAt_));
       if (Next <= PassEndsAt_)
         break;
       PassEndsAt_ = Next;
@@ -221,14 +228,9 @@
       break;
     const double End = runPass(Jobs, At, &Watch);
     if (End == At) {
-      double Next = -1;
-      for (const Running &Entry : Jobs)
-        if (!Entry.Decoding && Entry.ArrivesAt > At &&
-            (Next < 0 || Entry.ArrivesAt < Next))
-          Next = Entry.ArrivesAt;
-      if (Next < 0)
+      At = nextArrival(Jobs, At);
+      if (std::isinf(At))
         break; // a prompt that does not fit
-      At = Next;
       continue;
     }
     At = End;
@@ -261,11 +263,6 @@
   return Result;
 }
 
-bool EngineTimeline::holds(std::uint64_t Id) const {
-  return std::any_of(Jobs_.begin(), Jobs_.end(),
-                     [Id](const Running &Entry) { return Entry.Job.Id == Id; });
-}
-
 double EngineTimeline::memoryInUse() const {
   double Sum = 0;
   for (const Running &Entry : Jobs_)
@@ -273,11 +270,4 @@
   return Sum;
 }
 
-int EngineTimeline::jobsWithPauseBelow(double PauseMs) const {
-  return static_cast<int>(std::count_if(
-      Jobs_.begin(), Jobs_.end(), [PauseMs](const Running &Entry) {
-        return Entry.Job.Goal.PauseMs > 0 && Entry.Job.Goal.PauseMs < PauseMs;
-      }));
-}
-
 } // namespace cassiashed::engine
--- a/src/gateway/endpoint_pool.cpp
+++ b/src/gateway/endpoint_pool.cpp
@@ -1,5 +1,6 @@
 #include "gateway/endpoint_pool.h"
 
+#include "http/peek.h"
 #include <algorithm>
 
 namespace cassiashed::gateway {
@@ -14,14 +15,6 @@
 constexpr Duration IdleMargin{800};
 constexpr std::chrono::seconds DeadPeerLimit{3};
 
-bool hasNothingToRead(Tcp::socket &Socket) {
-  Code Failure;
-  Socket.non_blocking(true, Failure);
-  char Byte = 0;
-  Socket.receive(asio::buffer(&Byte, 1), Tcp::socket::message_peek, Failure);
-  return Failure == asio::error::would_block;
-}
-
 bool isExpired(const EndpointLink &Link, TimePoint Now) {
   const Duration Limit =
       Link.IdleLimit.count() > 0
@@ -63,7 +56,8 @@
     Found->second.pop_back();
     // Readable means closed by the endpoint, or bytes that belong to no
     // request.
-    if (!isExpired(*Link, Now) && hasNothingToRead(Link->Socket))
+    if (!isExpired(*Link, Now) &&
+        http::peek(Link->Socket) == http::Readable::Nothing)
       return Link;
   }
   return nullptr;
@@ -119,7 +113,8 @@
 void EndpointPool::dropExpired(TimePoint Now) {
   for (auto Entry = Idle_.begin(); Entry != Idle_.end();) {
     std::erase_if(Entry->second, [Now](const LinkRef &Link) {
-      return isExpired(*Link, Now) || !hasNothingToRead(Link->Socket);
+      return isExpired(*Link, Now) ||
+             http::peek(Link->Socket) != http::Readable::Nothing;
     });
     Entry = Entry->second.empty() ? Idle_.erase(Entry) : std::next(Entry);
   }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -5,6 +5,7 @@
 #include "cassiashed/base/hash.h"
 #include "gateway/event_assembler.h"
 #include "gateway/reservations.h"
+#include "http/peek.h"
 #include <array>
 #include <boost/asio/write.hpp>
 #include <limits>
@@ -42,8 +43,8 @@
 /// Part of the time a plain call has left that one endpoint may use up
 /// silently when another one could be asked.
 constexpr double PlainSilencePart = 0.5;
-/// A request that only cold or full endpoints could serve waits for them this
-/// part of its target, then it is refused.
+/// A request that only cold endpoints could serve waits for them this part of
+/// its target, then it is refused.
 constexpr double WaitPart = 0.125;
 constexpr Duration WaitStep{15};
 /// How often a late request looks for calm engines; spread so that requests
@@ -129,10 +130,9 @@
   http::Task<AttemptEnd> attempt(const Dispatch &Chosen);
   http::Task<AttemptEnd> receive(const Dispatch &Chosen, LinkRef &Link,
                                  const std::shared_ptr<PendingWrite> &Sending);
-  http::Task<AttemptEnd> relayStream(EndpointLink &Link, ResponseParser &Parser,
-                                     const EndpointRef &Peer);
-  http::Task<AttemptEnd> relayWhole(EndpointLink &Link, ResponseParser &Parser,
-                                    const EndpointHead &Head);
+  http::Task<AttemptEnd> relayStream(EndpointLink &Link,
+                                     ResponseParser &Parser);
+  http::Task<AttemptEnd> relayWhole(EndpointLink &Link, ResponseParser &Parser);
   http::Task<bool> readPiece(EndpointLink &Link, ResponseParser &Parser,
                              std::string &Piece);
   http::Task<bool> writeToCaller(std::string Bytes);
@@ -237,7 +237,6 @@
 }
 
 void Exchange::prepareWork() {
-  const TimePoint Now = State_.now();
   Duration Total = Head_.Deadline.value_or(DefaultDeadline);
   if (Route_->Timeout.count() > 0)
     Total = std::min(Total, Route_->Timeout);
@@ -251,10 +250,6 @@
   Work.PromptTokens = Head_.PromptTokens;
   Work.OutputTokens = Head_.OutputTokens;
   Work.PauseMs = static_cast<double>(Route_->PauseTarget.count());
-  Work.FirstTokenMs = std::chrono::duration<double, std::milli>(
-                          Request_.ReceivedAt + Route_->FirstByteTarget - Now)
-                          .count();
-  Work.DeadlineMs = static_cast<double>(left().count());
   Work.Value = (Head_.PromptTokens + OutputTokenWeight * Head_.OutputTokens) /
                TokensPerValue;
 }
@@ -326,14 +321,10 @@
     const auto Self = Weak.lock();
     if (!Self || Failure)
       return;
-    Code ReadFailure;
-    char Byte = 0;
-    Self->Caller_.non_blocking(true, ReadFailure);
-    const std::size_t Count = Self->Caller_.receive(
-        asio::buffer(&Byte, 1), Tcp::socket::message_peek, ReadFailure);
-    if (ReadFailure == asio::error::would_block)
+    const http::Readable Next = http::peek(Self->Caller_);
+    if (Next == http::Readable::Nothing)
       Self->watchCaller();
-    else if (ReadFailure || Count == 0)
+    else if (Next == http::Readable::Closed)
       Self->end(Ending::CallerGone);
     // Otherwise the next request is already there.
   });
@@ -673,11 +664,11 @@
     if (!AnswerBegun_)
       CallerHead_ = makeAnswerHead(*Parser);
     noteFirstByte(Chosen);
-    End = co_await relayStream(*Link, *Parser, Peer);
+    End = co_await relayStream(*Link, *Parser);
   } else {
     if (AnswerBegun_)
       co_return AttemptEnd::Broken; // a resumed stream was answered otherwise
-    End = co_await relayWhole(*Link, *Parser, Answer);
+    End = co_await relayWhole(*Link, *Parser);
     noteFirstByte(Chosen);
   }
   if (End == AttemptEnd::Answered || End == AttemptEnd::FailedAnswer) {
@@ -755,9 +746,7 @@
 }
 
 http::Task<AttemptEnd> Exchange::relayStream(EndpointLink &Link,
-                                             ResponseParser &Parser,
-                                             const EndpointRef &Peer) {
-  (void)Peer;
+                                             ResponseParser &Parser) {
   const Duration Silence =
       std::max(LeastStreamSilence, std::chrono::duration_cast<Duration>(
                                        Route_->PauseTarget * SilenceFactor));
@@ -801,9 +790,7 @@
 }
 
 http::Task<AttemptEnd> Exchange::relayWhole(EndpointLink &Link,
-                                            ResponseParser &Parser,
-                                            const EndpointHead &Head) {
-  (void)Head;
+                                            ResponseParser &Parser) {
   HeldAnswer Answer;
   Answer.Head = makeAnswerHead(Parser);
   std::string Piece;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -172,26 +172,18 @@
       std::from_chars(Number.data(), Number.data() + Number.size(), After);
     }
     const std::string_view Path = Target.substr(0, Query);
-    if (Path == "/rows/operator")
-      return {
-          200, {}, packRows(Rows_->rowsAfter(catalog::Table::Operator, After))};
-    if (Path == "/rows/endpoints")
-      return {200,
-              {},
-              packRows(Rows_->rowsAfter(catalog::Table::Endpoints, After))};
+    for (const catalog::Table Each :
+         {catalog::Table::Operator, catalog::Table::Endpoints})
+      if (Path == rowsPath(Each))
+        return {200, {}, packRows(Rows_->rowsAfter(Each, After))};
     return {404, {}, "no such table\n"};
   }
 
   void onRows(catalog::Table Which, const std::vector<catalog::Row> &News) {
     const bool WasReady = isReady();
     Updater_.apply(Which, News, Rows_->storeRegainedAt());
-    for (const catalog::Row &Each : News) {
-      if (Which == catalog::Table::Operator)
-        OperatorRow_ = std::max(OperatorRow_, Each.Version);
-      else if (Which == catalog::Table::Endpoints)
-        EndpointRow_ = std::max(EndpointRow_, Each.Version);
-    }
-    State_.Nodes->setRowVersions(OperatorRow_, EndpointRow_);
+    State_.Nodes->setRowVersions(Rows_->newestRow(catalog::Table::Operator),
+                                 Rows_->newestRow(catalog::Table::Endpoints));
     if (!WasReady && isReady())
       logEvent("ready")
           .field("config", State_.Config->Version)
@@ -357,8 +349,6 @@
   std::unique_ptr<http::Server> Ready_;
   std::unique_ptr<http::Server> Internal_;
   std::unique_ptr<http::Server> Metrics_;
-  std::uint64_t OperatorRow_ = 0;
-  std::uint64_t EndpointRow_ = 0;
   TimePoint LastHousekeeping_;
   TimePoint LastSettingsCheck_;
   std::filesystem::file_time_type SettingsTime_;
--- a/src/gateway/http_wire.cpp
+++ b/src/gateway/http_wire.cpp
@@ -18,15 +18,6 @@
 
 } // namespace
 
-bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
-  return Left.size() == Right.size() &&
-         std::equal(Left.begin(), Left.end(), Right.begin(),
-                    [](char First, char Second) {
-                      return std::tolower(static_cast<unsigned char>(First)) ==
-                             std::tolower(static_cast<unsigned char>(Second));
-                    });
-}
-
 bool isConnectionField(std::string_view Name) {
   static constexpr std::array<std::string_view, 10> Names = {
       "Connection",
--- a/src/gateway/http_wire.h
+++ b/src/gateway/http_wire.h
@@ -16,6 +16,7 @@
 namespace beast = boost::beast;
 namespace bhttp = boost::beast::http;
 using http::detectDeadPeer;
+using http::equalsIgnoringCase;
 using http::Tcp;
 using Code = boost::system::error_code;
 
@@ -29,7 +30,6 @@
 
 /// Whether `Name` concerns one connection or the framing of the body.
 bool isConnectionField(std::string_view Name);
-bool equalsIgnoringCase(std::string_view Left, std::string_view Right);
 
 std::string formatRequestHead(std::string_view Method, std::string_view Target,
                               const http::Headers &Fields,
--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -52,6 +52,9 @@
   std::vector<Row> rowsAfter(Table Which, std::uint64_t After) const override {
     return mirror(Which).changesAfter(After);
   }
+  std::uint64_t newestRow(Table Which) const override {
+    return mirror(Which).newestRow();
+  }
   bool hasRead(Table Which) const override { return mirror(Which).size() > 0; }
   bool storeAnswers() const override { return Answers_; }
   TimePoint storeRegainedAt() const override { return RegainedAt_; }
@@ -184,6 +187,10 @@
 
 } // namespace
 
+std::string rowsPath(Table Which) {
+  return "/rows/" + std::string(nameOf(Which));
+}
+
 std::unique_ptr<RowFollower> startRowFollower(GatewayState &State,
                                               StoreClient &Store,
                                               RowFollower::OnRows Notify) {
--- a/src/gateway/row_follower.h
+++ b/src/gateway/row_follower.h
@@ -7,6 +7,9 @@
 
 namespace cassiashed::gateway {
 
+/// Path at which a node serves its rows of a table to other nodes.
+std::string rowsPath(catalog::Table Which);
+
 /// Keeps copies of the operator's and the endpoints' table up to date: from the
 /// store while it answers, from other nodes when they hold newer rows.
 class RowFollower {
@@ -23,6 +26,8 @@
   /// Rows of a table newer than `After`, for other nodes.
   virtual std::vector<catalog::Row> rowsAfter(catalog::Table Which,
                                               std::uint64_t After) const = 0;
+  /// Version of the newest row of the table, from whatever source.
+  virtual std::uint64_t newestRow(catalog::Table Which) const = 0;
   /// Whether the table was read at least once.
   virtual bool hasRead(catalog::Table Which) const = 0;
   /// Whether the store answered the last call for the table.
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -12,6 +12,8 @@
              : Character;
 }
 
+} // namespace
+
 bool equalsIgnoringCase(std::string_view Left, std::string_view Right) {
   return std::equal(Left.begin(), Left.end(), Right.begin(), Right.end(),
                     [](char First, char Second) {
@@ -19,8 +21,6 @@
                     });
 }
 
-} // namespace
-
 std::string_view findHeader(const Headers &All, std::string_view Name) {
   for (const Header &Field : All)
     if (equalsIgnoringCase(Field.first, Name))
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -11,6 +11,9 @@
 using Header = std::pair<std::string, std::string>;
 using Headers = std::vector<Header>;
 
+/// Whether two names are the same but for the case of ASCII letters.
+bool equalsIgnoringCase(std::string_view Left, std::string_view Right);
+
 /// Value of the first header with this name, compared without case; empty if
 /// there is none.
 std::string_view findHeader(const Headers &All, std::string_view Name);
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include "http/peek.h"
 #include <atomic>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -114,14 +115,7 @@
       const auto Callback = Weak.lock();
       if (!Callback || Failure)
         return;
-      char Byte = 0;
-      Code ReadFailure;
-      Socket.non_blocking(true, ReadFailure);
-      Socket.receive(asio::buffer(&Byte, 1), Tcp::socket::message_peek,
-                     ReadFailure);
-      const bool HasNextRequest = !ReadFailure;
-      const bool Spurious = ReadFailure == asio::error::would_block;
-      if (!HasNextRequest && !Spurious)
+      if (peek(Socket) == Readable::Closed)
         (*Callback)();
     });
   }
--- a/tests/process/gateway_test.py
+++ b/tests/process/gateway_test.py
@@ -11,7 +11,9 @@
 import time
 import unittest
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins" / "users_platform"))
+TESTS = pathlib.Path(__file__).resolve().parents[1]
+sys.path[:0] = [str(TESTS / "harness"), str(TESTS / "standins" / "users_platform")]
+from cluster import free_ports  # noqa: E402
 from replica import Replica  # noqa: E402
 from store import Store  # noqa: E402
 
@@ -21,14 +23,6 @@
 EVENTS = b"".join(b"id: %d\ndata: token %d\n\n" % (n, n) for n in range(1, 7))
 
 
-def free_ports(count):
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 def route(prefix, kind, service, **extra):
     return {"name": prefix, "host": "h.example", "pathPrefix": prefix, "kind": kind, "service": service,
             "timeoutMs": 4000, "targetLatencyMs": 300, "priority": 1, "maxAttempts": 2,
