Let idle connections to an endpoint give way to new requests

Cause: a node's share of an endpoint's connections counted idle ones, and an idle one did not count as a place for the next request. Ruled out: full replicas, the retry budget. Change: the share is compared with the connections that carry a request; the oldest idle connection is closed when a new one would exceed the share. Test: gateway_test test_idle_connections_give_way_to_new_ones, 503 before.

--- a/src/gateway/endpoint_pool.cpp
+++ b/src/gateway/endpoint_pool.cpp
@@ -110,6 +110,13 @@
     Kept.push_back(std::move(Link));
 }
 
+void EndpointPool::makeRoom(std::uint32_t Number, int Limit) {
+  const auto Found = Idle_.find(Number);
+  while (Found != Idle_.end() && !Found->second.empty() &&
+         openCount(Number) >= Limit)
+    Found->second.erase(Found->second.begin());
+}
+
 void EndpointPool::dropExpired(TimePoint Now) {
   for (auto Entry = Idle_.begin(); Entry != Idle_.end();) {
     std::erase_if(Entry->second, [Now](const LinkRef &Link) {
--- a/src/gateway/endpoint_pool.h
+++ b/src/gateway/endpoint_pool.h
@@ -44,6 +44,9 @@
   /// Keeps the connection for the next request.
   void giveBack(LinkRef Link, TimePoint Now);
   void closeIdle(std::uint32_t Number) { Idle_.erase(Number); }
+  /// Closes idle connections to an endpoint until fewer than `Limit` are open
+  /// or none is idle.
+  void makeRoom(std::uint32_t Number, int Limit);
   void dropExpired(TimePoint Now);
 
   /// Connections to an endpoint, idle ones included.
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -420,6 +420,7 @@
     Link = State_.Pool.takeIdle(Peer->Number, State_.now());
   if (!Link) {
     const Duration Limit = std::min(ConnectLimit, left());
+    State_.Pool.makeRoom(Peer->Number, State_.connectionShare(*Peer));
     Link = co_await State_.Pool.connect(Peer->Entry, Peer->Number, Limit);
     if (!Link) {
       State_.Health.note(Peer->Number, EndpointOutcome::Unreachable,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -74,7 +74,9 @@
       return false;
     State_.Dispatcher.setConnectionRoom(
         [this](const catalog::KnownEndpoint &Which) {
-          return connectionRoom(Which);
+          // Idle connections give way to new ones.
+          return State_.connectionShare(Which) -
+                 State_.Pool.busyCount(Which.Number);
         });
     asio::co_spawn(Context_, joinNodes(), asio::detached);
     watchSignals();
@@ -190,19 +192,6 @@
           .field("endpoints", State_.Directory.all().size());
   }
 
-  /// Connections that this node may still open to an endpoint: its share of
-  /// what the endpoint accepts from all nodes.
-  int connectionRoom(const catalog::KnownEndpoint &Which) const {
-    const catalog::Service *Service =
-        State_.Config ? State_.Config->findService(Which.Entry.Service)
-                      : nullptr;
-    if (!Service || Service->ConnectionLimit <= 0)
-      return 1;
-    const int Share =
-        std::max(1, Service->ConnectionLimit / State_.sharingNodes());
-    return Share - State_.Pool.openCount(Which.Number);
-  }
-
   /// Writes this node's address to the store, then reads those of the others:
   /// of two nodes that start at once, the later writer finds the other.
   http::Task<void> joinNodes() {
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_state.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace cassiashed::gateway {
 namespace {
@@ -42,6 +43,14 @@
   return static_cast<int>(Possible * JoiningNodes) + 1;
 }
 
+int GatewayState::connectionShare(const catalog::KnownEndpoint &Which) const {
+  const catalog::Service *Target =
+      Config ? Config->findService(Which.Entry.Service) : nullptr;
+  if (!Target || Target->ConnectionLimit <= 0)
+    return std::numeric_limits<int>::max();
+  return std::max(1, Target->ConnectionLimit / sharingNodes());
+}
+
 void GatewayState::applyBounds() {
   Cold.setOptions(coldOptions(Settings.Bounds));
   Retries.setOptions(retryOptions(Settings.Bounds));
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -57,6 +57,9 @@
   TimePoint now() const { return std::chrono::steady_clock::now(); }
   /// Nodes among which limits are shared, at least one.
   int sharingNodes() const;
+  /// Connections that this node may hold to an endpoint: its share of what the
+  /// endpoint accepts from all nodes, at least one.
+  int connectionShare(const catalog::KnownEndpoint &Which) const;
   /// Puts changed bounds of the settings into effect.
   void applyBounds();
   /// Confirms the broken runs of an endpoint that has ended as crashes.
--- a/tests/process/gateway_test.py
+++ b/tests/process/gateway_test.py
@@ -216,6 +216,17 @@
             each.script = ["foreign"]
         self.assertEqual(self.call("/post/x", "POST", b"drop")[::2], (200, WHOLE))
 
+    def test_idle_connections_give_way_to_new_ones(self):
+        # Two connections for this node and one that may join: a share of one.
+        config = make_config(4)
+        config["services"][0]["connectionLimit"] = 2
+        self.store.put("op", "config", config)
+        self.wait_for(lambda: b"event=config_in_force version=4" in self.gateway.log_path.read_bytes(), "version 4")
+        for _ in range(6):
+            self.assertEqual(self.call("/get/x")[0], 200)
+        self.assertEqual(self.call("/post/x", "POST", b"drop")[0], 200)
+        self.assertEqual(self.call("/get/x")[0], 200)
+
     def test_timeout_of_the_route_is_answered_in_time(self):
         for each in self.app:
             each.script = ["mute"]
