Count first tokens as doubtful from half of their limit on

Change: lateness of the own first token rises from 0.5 to 1.1 of the limit instead of 0.8 to 1.1. Test: placement_test (a slight doubt costs less...), failing before.

--- a/src/balancing/placement.cpp
+++ b/src/balancing/placement.cpp
@@ -20,6 +20,11 @@
 /// that are done first leave more room for what comes next.
 constexpr double EarlinessPerSecond = 0.2;
 constexpr double EarlinessOfValue = 0.05;
+/// Predicted first tokens, in parts of their limit, up to which a request is
+/// surely on time and from which on it is surely late: half of the predictions
+/// err by more than 20 percent, mostly since later work comes in between.
+constexpr double OnTimeUpTo = 0.5;
+constexpr double LateFrom = 1.1;
 /// Value lost by later requests when an engine's slots fill up: grows with the
 /// square of the load above the start, in requests per slot.
 constexpr double CongestionCost = 0.6;
@@ -35,13 +40,12 @@
                const PlacementOptions &Options) {
   if (FirstTokenMs >= Request.DeadlineMs)
     return Request.Value;
-  // The prediction errs by some 20 percent; a first token close to its limit
-  // is late with a probability that grows over that range.
   const double Lateness =
       Request.FirstTokenMs <= 0
           ? 1
-          : std::clamp((FirstTokenMs / Request.FirstTokenMs - 0.8) / 0.3, 0.0,
-                       1.0);
+          : std::clamp((FirstTokenMs / Request.FirstTokenMs - OnTimeUpTo) /
+                           (LateFrom - OnTimeUpTo),
+                       0.0, 1.0);
   return Request.Value * (1 - Options.LateShare) * Lateness +
          (EarlinessPerSecond + EarlinessOfValue * Request.Value) *
              FirstTokenMs / 1000;
--- a/src/balancing/placement_test.cpp
+++ b/src/balancing/placement_test.cpp
@@ -188,3 +188,21 @@
                     [](const auto &Each) { return Each->shortStreams() == 0; });
   CHECK(Without >= 7);
 }
+
+// Guards against first tokens that are planned close to their limit and then
+// miss it: half of the predictions err by more than 20 percent.
+TEST_CASE("a slight doubt costs less than a first token near its limit") {
+  Fleet All(2);
+  // Another prompt is read for 110 ms before the request.
+  PlacementRequest Before = makeShort(1);
+  Before.PromptTokens = 18000;
+  PlacedPart Whole;
+  Whole.PromptTokens = Before.PromptTokens;
+  All.Engines[0]->add(makeJob(Before, Whole, true, All.Now), All.Now);
+  std::vector<EngineCandidate> Candidates = All.candidates();
+  Candidates[1].Handicap = 0.2;
+  const auto Chosen =
+      choosePlacement(makeShort(2), Candidates, All.Spec, All.Now);
+  REQUIRE(Chosen);
+  CHECK(Chosen->Parts.front().Candidate == 1);
+}
