--- a/src/balancing/shares_test.cpp
+++ b/src/balancing/shares_test.cpp
@@ -1,6 +1,7 @@
 #include "cassiashed/balancing/cold_share.h"
 #include "cassiashed/balancing/crash_history.h"
 #include "cassiashed/balancing/endpoint_health.h"
+#include "cassiashed/balancing/reservation_use.h"
 #include "cassiashed/balancing/retry_share.h"
 
 #include <algorithm>
@@ -129,3 +130,29 @@
   CHECK(Health.isPaused(1, Start));
   CHECK_FALSE(Health.isPaused(1, Start + std::chrono::seconds(2)));
 }
+
+// Guards against memory that is kept for an engine that went dark: seen 5.4 s
+// after the request that had used it.
+TEST_CASE("a reservation is over when its request no longer uses it") {
+  ReservationUse Use;
+  CHECK_FALSE(Use.isOver());
+  // The request still waits at the engine that writes its answer.
+  Use.noteState(ReservationState::Held);
+  CHECK_FALSE(Use.isOver());
+  Use.noteState(ReservationState::Used);
+  Use.noteState(ReservationState::Unknown);
+  CHECK_FALSE(Use.isOver());
+  Use.noteState(ReservationState::Held);
+  CHECK(Use.isOver());
+
+  ReservationUse Lost;
+  Lost.noteState(ReservationState::Held);
+  CHECK(Lost.mayWaitAtWriter());
+  Lost.noteWriterSilent();
+  CHECK(Lost.isOver());
+
+  ReservationUse Short; // used and given back between two questions
+  Short.noteBegun();
+  Short.noteState(ReservationState::Held);
+  CHECK(Short.isOver());
+}
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cassiashed/balancing/placement.h"
+#include "cassiashed/balancing/reservation_use.h"
 #include "cassiashed/base/clock.h"
 #include "cassiashed/catalog/endpoint.h"
 #include "cassiashed/catalog/row_mirror.h"
@@ -79,6 +80,12 @@
                                      double Tokens, Duration Hold) const = 0;
   virtual http::Request
   releaseOrder(const std::string &ReservationId) const = 0;
+  /// Asks an engine what it is doing.
+  virtual http::Request reportCall() const = 0;
+  /// What the answer to `reportCall` says of a reservation.
+  virtual balancing::ReservationState
+  readReservationState(const std::string &Report,
+                       const std::string &ReservationId) const = 0;
 
   /// Rows of the store. Nothing and a reason if a row cannot be used.
   virtual std::optional<OperatorRow>
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -412,6 +412,8 @@
   Options.Hold = std::min(State_.Settings.Bounds.ReservationFree * 3 / 4,
                           State_.Settings.Bounds.ReservationMax);
   Options.Renew = Options.Hold / 3;
+  const catalog::Endpoint &Writer = Chosen.Endpoints.front()->Entry;
+  Options.Writer = {Writer.Host, Writer.Port};
   Reservations_ = makeReservations(State_.Context, State_.Protocol, Options);
   std::vector<ReservationPlan> Plans = Plans_;
   const bool Reserved = co_await Reservations_->acquire(std::move(Plans));
@@ -520,6 +522,8 @@
   if (FirstByteSeen_)
     return;
   FirstByteSeen_ = true;
+  if (Reservations_)
+    Reservations_->noteBegun();
   const TimePoint Now = State_.now();
   State_.Load.markStarted(Wanted_.Work.Id, Now);
   if (Service_->Engine) {
--- a/src/gateway/reservations.cpp
+++ b/src/gateway/reservations.cpp
@@ -18,6 +18,7 @@
 
   http::Task<bool> acquire(std::vector<ReservationPlan> Plans) override {
     Plans_ = std::move(Plans);
+    Uses_.resize(Plans_.size());
     bool Complete = true;
     for (std::size_t Index = 0; Index < Plans_.size() && Complete; ++Index) {
       Tried_ = Index + 1;
@@ -35,22 +36,27 @@
       release();
       co_return false;
     }
+    // g++ 12 destroys temporaries among a coroutine's arguments twice.
     auto Self = shared_from_this();
-    asio::co_spawn(Context_, renewLoop(Self), asio::detached);
+    for (std::size_t Index = 0; Index < Plans_.size(); ++Index)
+      asio::co_spawn(Context_, renewLoop(Self, Index), asio::detached);
     co_return true;
   }
 
+  void noteBegun() override {
+    for (balancing::ReservationUse &Each : Uses_)
+      Each.noteBegun();
+  }
+
   void release() override {
     if (Released_)
       return;
     Released_ = true;
     // Without an answer a reservation may have been made, so all that were
     // tried are released.
-    Plans_.resize(Tried_);
-    if (!Plans_.empty()) {
-      auto Self = shared_from_this();
-      asio::co_spawn(Context_, releaseAll(Self), asio::detached);
-    }
+    auto Self = shared_from_this();
+    for (std::size_t Index = 0; Index < Tried_; ++Index)
+      asio::co_spawn(Context_, releaseOne(Self, Index), asio::detached);
   }
 
 private:
@@ -66,40 +72,74 @@
     Status = Reply ? Reply->Status : 0;
   }
 
-  static http::Task<void> renewLoop(std::shared_ptr<ReservationsImpl> Self) {
-    while (true) {
+  http::Task<std::optional<http::Response>> askForReport(http::Address Where) {
+    const http::Request Call = Protocol_.reportCall();
+    std::optional<http::Response> Reply =
+        co_await http::fetch(Where, Call, Options_.CallTimeout);
+    if (Reply && Reply->Status != 200)
+      Reply.reset();
+    co_return Reply;
+  }
+
+  /// Asks the engine whether the request still uses its memory.
+  http::Task<void> noteUse(const ReservationPlan &Plan,
+                           balancing::ReservationUse &Use) {
+    const http::Address Engine{Plan.Host, Plan.Port};
+    const std::optional<http::Response> Reply = co_await askForReport(Engine);
+    Use.noteState(Reply ? Protocol_.readReservationState(Reply->Body, Plan.Id)
+                        : balancing::ReservationState::Unknown);
+    if (!Use.mayWaitAtWriter())
+      co_return;
+    const std::optional<http::Response> AtWriter =
+        co_await askForReport(Options_.Writer);
+    if (!AtWriter)
+      Use.noteWriterSilent();
+  }
+
+  /// Each reservation has a loop of its own, since an engine that does not
+  /// answer takes the whole time limit of each call.
+  static http::Task<void> renewLoop(std::shared_ptr<ReservationsImpl> Self,
+                                    std::size_t Index) {
+    const ReservationPlan &Plan = Self->Plans_[Index];
+    balancing::ReservationUse &Use = Self->Uses_[Index];
+    while (!Self->Released_) {
       co_await http::sleepFor(Self->Options_.Renew);
+      if (!Self->Released_)
+        co_await Self->noteUse(Plan, Use);
       if (Self->Released_)
         co_return;
-      for (const ReservationPlan &Plan : Self->Plans_) {
-        int Status = 0;
-        co_await Self->order(Plan, true, Status);
-        if (Self->Released_) {
-          // The renewal may have arrived after the release.
-          int Ignored = 0;
-          co_await Self->order(Plan, false, Ignored);
-          co_return;
-        }
+      if (Use.isOver()) {
+        logEvent("reservation_unused")
+            .field("reservation", Plan.Id)
+            .field("endpoint", Plan.Host);
+        co_await releaseOne(Self, Index);
+        co_return;
       }
+      int Status = 0;
+      co_await Self->order(Plan, true, Status);
     }
+    // The last renewal may have arrived after the release.
+    int Ignored = 0;
+    co_await Self->order(Plan, false, Ignored);
   }
 
-  static http::Task<void> releaseAll(std::shared_ptr<ReservationsImpl> Self) {
-    for (const ReservationPlan &Plan : Self->Plans_) {
-      int Status = 0;
-      for (int Try = 0; Try < ReleaseTries && Status == 0; ++Try)
-        co_await Self->order(Plan, false, Status);
-      if (Status == 0)
-        logWarning("release_unanswered")
-            .field("reservation", Plan.Id)
-            .field("endpoint", Plan.Host);
-    }
+  static http::Task<void> releaseOne(std::shared_ptr<ReservationsImpl> Self,
+                                     std::size_t Index) {
+    const ReservationPlan &Plan = Self->Plans_[Index];
+    int Status = 0;
+    for (int Try = 0; Try < ReleaseTries && Status == 0; ++Try)
+      co_await Self->order(Plan, false, Status);
+    if (Status == 0)
+      logWarning("release_unanswered")
+          .field("reservation", Plan.Id)
+          .field("endpoint", Plan.Host);
   }
 
   asio::io_context &Context_;
   const Dialect &Protocol_;
   ReservationOptions Options_;
   std::vector<ReservationPlan> Plans_;
+  std::vector<balancing::ReservationUse> Uses_; ///< one per plan
   std::size_t Tried_ = 0;
   bool Released_ = false;
 };
