--- /dev/null
+++ b/src/gateway/exchange_attempt.cpp
@@ -0,0 +1,366 @@
+#include "gateway/exchange_parts.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <limits>
+
+namespace cassiashed::gateway {
+namespace {
+
+/// Longest wait for a connection to an endpoint: several round trips between
+/// zones and the endpoint's own handshake.
+constexpr Duration ConnectLimit{400};
+constexpr std::uint32_t EndpointHeadBytes = 64 * 1024;
+/// Answers to earlier requests that are skipped on one connection.
+constexpr int MaxForeignAnswers = 3;
+/// A stream without a first event for longer than its predicted time by this
+/// factor and slack goes to another endpoint.
+constexpr double FirstEventFactor = 3;
+constexpr Duration FirstEventSlack{1500};
+/// Part of the time a plain call has left that one endpoint may use up
+/// silently when another one could be asked.
+constexpr double PlainSilencePart = 0.5;
+/// Priorities at the engine, 0 is first.
+constexpr int UrgentPriority = 3;
+constexpr int LatePriority = 8;
+
+} // namespace
+
+std::string_view nameOf(AttemptEnd End) {
+  static constexpr std::array<std::string_view, 6> Names = {
+      "answered", "not_sent", "not_run", "failed", "failed_answer", "broken"};
+  return Names[static_cast<std::size_t>(End)];
+}
+
+http::Task<bool> Exchange::reserve(const Dispatch &Chosen) {
+  Plans_.clear();
+  for (std::size_t Index = 1; Index < Chosen.Parts.size(); ++Index) {
+    if (Chosen.Parts[Index].ReservedTokens <= 0)
+      continue;
+    const catalog::Endpoint &Entry = Chosen.Endpoints[Index]->Entry;
+    Plans_.push_back({Entry.Host, Entry.Port,
+                      std::to_string(Wanted_.Work.Id) + "-" +
+                          std::to_string(Sends_) + "-" + std::to_string(Index),
+                      Chosen.Parts[Index].ReservedTokens});
+  }
+  if (Plans_.empty())
+    co_return true;
+  ReservationOptions Options;
+  // A process that ends leaves its reservations until they lapse.
+  Options.Hold = std::min(State_.Settings.Bounds.ReservationFree * 3 / 4,
+                          State_.Settings.Bounds.ReservationMax);
+  Options.Renew = Options.Hold / 3;
+  const catalog::Endpoint &Writer = Chosen.Endpoints.front()->Entry;
+  Options.Writer = {Writer.Host, Writer.Port};
+  Reservations_ = makeReservations(State_.Context, State_.Protocol, Options);
+  std::vector<ReservationPlan> Plans = Plans_;
+  const bool Reserved = co_await Reservations_->acquire(std::move(Plans));
+  if (!Reserved)
+    Reservations_.reset();
+  co_return Reserved;
+}
+
+void Exchange::releaseReservations() {
+  if (!Reservations_)
+    return;
+  Reservations_->release();
+  Reservations_.reset();
+}
+
+http::Task<LinkRef> Exchange::openLink(const EndpointRef &Peer) {
+  LinkRef Link;
+  // A request that must not run twice gets a connection of its own: on one
+  // that was used before, a reset does not tell whether the request arrived.
+  if (Route_->mayRepeat() && Sends_ == 0)
+    Link = State_.Pool.takeIdle(Peer->Number, State_.now());
+  if (!Link) {
+    const Duration Limit = std::min(ConnectLimit, left());
+    State_.Pool.makeRoom(Peer->Number, State_.connectionShare(*Peer));
+    Link = co_await State_.Pool.connect(Peer->Entry, Peer->Number, Limit);
+    if (!Link) {
+      State_.Health.note(Peer->Number, EndpointOutcome::Unreachable,
+                         State_.now());
+      State_.Nodes->announceSilence(Peer->Entry.Id);
+      State_.confirmCrashes(*Peer);
+    }
+  }
+  co_return Link;
+}
+
+std::string Exchange::formatForward(const Dispatch &Chosen) {
+  Forwarding Added;
+  Added.EndpointId = Chosen.Endpoints.front()->Entry.Id;
+  if (Workspace_)
+    Added.Workspace = Workspace_->Name;
+  Added.Left = left();
+  Added.Priority = Wanted_.Work.Urgent ? UrgentPriority : LatePriority;
+  Added.LastEventId =
+      Events_.lastId().empty() ? Head_.LastEventId : Events_.lastId();
+  std::size_t Plan = 0;
+  for (std::size_t Index = 1; Index < Chosen.Endpoints.size(); ++Index) {
+    HelperUse Helper;
+    Helper.Address = Chosen.Endpoints[Index]->Entry.address();
+    if (Chosen.Parts[Index].ReservedTokens > 0 && Plan < Plans_.size())
+      Helper.ReservationId = Plans_[Plan++].Id;
+    Added.Helpers.push_back(std::move(Helper));
+  }
+  const http::Headers Fields =
+      State_.Protocol.forwardFields(Request_.Fields, Added);
+  return formatRequestHead(Request_.Method, Request_.Target, Fields,
+                           Body_->size(), Request_.HasBody);
+}
+
+void Exchange::beginWork(const Dispatch &Chosen) {
+  const TimePoint Now = State_.now();
+  Assignment Work;
+  Work.Request = Wanted_.Work;
+  for (std::size_t Index = 0; Index < Chosen.Endpoints.size(); ++Index)
+    Work.Parts.push_back(
+        {Chosen.Endpoints[Index]->Entry.Id, Chosen.Parts[Index]});
+  State_.Load.assign(Work, Now);
+  State_.Nodes->announceStart(Work);
+  WorkActive_ = true;
+  if (Sends_ == 0)
+    State_.Retries.noteFirst(Service_->Name, Now);
+  ++Sends_;
+  const EndpointRef &Peer = Chosen.Endpoints.front();
+  Wanted_.Excluded.insert(Peer->Number);
+  if (Peer->ColdUntil > Now)
+    State_.Cold.noteSent(Peer->Number, Now);
+  SentAt_ = Now;
+  State_.Health.noteSent(
+      Peer->Number,
+      Duration(static_cast<Duration::rep>(std::min(1e6, Chosen.FirstTokenMs))),
+      Now);
+  State_.Log.write("attempt_sent", Now, [&](LogLine &Line) {
+    Line.field("id", Head_.AttemptId)
+        .field("attempt", Sends_)
+        .field("service", Service_->Name)
+        .field("endpoint", Peer->Entry.Id)
+        .field("engines", Chosen.Endpoints.size())
+        .field("prompt_tokens", Wanted_.Work.PromptTokens)
+        .field("predicted_ms", static_cast<int>(Chosen.FirstTokenMs))
+        .field("loss_others", Chosen.LossToOthers)
+        .field("loss_later", Chosen.LossToLater)
+        .field("urgent", Chosen.Urgent)
+        .field("left_ms", left().count())
+        .field("config", Config_->Version);
+  });
+}
+
+void Exchange::finishWork() {
+  if (!WorkActive_)
+    return;
+  WorkActive_ = false;
+  State_.Load.finish(Wanted_.Work.Id, State_.now());
+  State_.Nodes->announceFinish(Wanted_.Work.Id);
+}
+
+void Exchange::noteFirstByte(const Dispatch &Chosen) {
+  if (FirstByteSeen_)
+    return;
+  FirstByteSeen_ = true;
+  if (Reservations_)
+    Reservations_->noteBegun();
+  const TimePoint Now = State_.now();
+  State_.Load.markStarted(Wanted_.Work.Id, Now);
+  if (Service_->Engine) {
+    State_.Nodes->announceFirstToken(Wanted_.Work.Id);
+    const double SeenMs =
+        std::chrono::duration<double, std::milli>(Now - SentAt_).count();
+    State_.Metrics->observePrediction(Chosen.FirstTokenMs, SeenMs);
+    State_.Log.write("first_token", Now, [&](LogLine &Line) {
+      Line.field("id", Head_.AttemptId)
+          .field("endpoint", Chosen.Endpoints.front()->Entry.Id)
+          .field("engines", Chosen.Endpoints.size())
+          .field("prompt_tokens", Wanted_.Work.PromptTokens)
+          .field("predicted_ms", static_cast<int>(Chosen.FirstTokenMs))
+          .field("seen_ms", static_cast<int>(SeenMs));
+    });
+  }
+  State_.Metrics->observeFirstByte(
+      catalog::nameOf(Route_->Kind), Workspace_ ? Workspace_->Name : "none",
+      std::chrono::duration_cast<Duration>(Now - Request_.ReceivedAt));
+}
+
+void Exchange::notePiece() {
+  const TimePoint Now = State_.now();
+  if (LastPieceAt_ != TimePoint())
+    LongestPause_ =
+        std::max(LongestPause_,
+                 std::chrono::duration_cast<Duration>(Now - LastPieceAt_));
+  LastPieceAt_ = Now;
+}
+
+void Exchange::noteBroken(const EndpointRef &Peer) {
+  const TimePoint Now = State_.now();
+  if (Ending_ != Ending::None)
+    return; // this node closed the connection
+  State_.Health.note(
+      Peer->Number, Silent_ ? EndpointOutcome::Silent : EndpointOutcome::Broken,
+      Now);
+  if (Silent_)
+    State_.Nodes->announceSilence(Peer->Entry.Id);
+  else
+    State_.BrokenRuns.push_back({Content_, Peer, Now});
+}
+
+http::Task<AttemptEnd> Exchange::attempt(const Dispatch &Chosen) {
+  const EndpointRef Peer = Chosen.Endpoints.front();
+  const bool Reserved = co_await reserve(Chosen);
+  if (!Reserved)
+    co_return AttemptEnd::NotSent;
+  LinkRef Link;
+  if (Ending_ == Ending::None)
+    Link = co_await openLink(Peer);
+  // The endpoint may have left while the connection was made.
+  if (!Link || Ending_ != Ending::None || !State_.Directory.isUsable(*Peer)) {
+    Wanted_.Excluded.insert(Peer->Number);
+    releaseReservations();
+    co_return AttemptEnd::NotSent;
+  }
+  Current_ = Link.get();
+  Silent_ = false;
+  Cause_.clear();
+  FirstByteSeen_ = false;
+  const auto Sending = std::make_shared<PendingWrite>();
+  Sending->Head = formatForward(Chosen);
+  Sending->Body = Body_;
+  beginWork(Chosen);
+  const std::array<asio::const_buffer, 2> Buffers = {
+      asio::buffer(Sending->Head), asio::buffer(*Sending->Body)};
+  asio::async_write(Link->Socket, Buffers,
+                    [Sending](Code Failure, std::size_t) {
+                      Sending->Done = true;
+                      Sending->Failure = Failure;
+                    });
+  AttemptEnd End = co_await receive(Chosen, Link, Sending);
+  Current_ = nullptr;
+  setSilenceLimit(TimePoint::max());
+  Link.reset();
+  finishWork();
+  releaseReservations();
+  State_.Metrics->countAttempt(nameOf(End));
+  State_.Log.write("attempt_ended", State_.now(), [&](LogLine &Line) {
+    Line.field("id", Head_.AttemptId)
+        .field("attempt", Sends_)
+        .field("endpoint", Peer->Entry.Id)
+        .field("result", nameOf(End))
+        .field("silent", Silent_)
+        .field("cause", Cause_);
+  });
+  co_return End;
+}
+
+http::Task<AttemptEnd>
+Exchange::receive(const Dispatch &Chosen, LinkRef &Link,
+                  const std::shared_ptr<PendingWrite> &Sending) {
+  const EndpointRef Peer = Chosen.Endpoints.front();
+  const bool IsStream = Route_->Kind == CallKind::Stream;
+  if (IsStream)
+    setSilenceLimit(State_.now() + FirstEventSlack +
+                    std::chrono::milliseconds(static_cast<int>(std::min(
+                        1e6, Chosen.FirstTokenMs * FirstEventFactor))));
+  else if (Route_->mayRepeat() && Sends_ < Route_->MaxAttempts)
+    setSilenceLimit(State_.now() + std::chrono::duration_cast<Duration>(
+                                       left() * PlainSilencePart));
+  std::optional<ResponseParser> Parser;
+  EndpointHead Answer;
+  bool Matches = false;
+  for (int Skipped = 0; !Matches && Skipped <= MaxForeignAnswers; ++Skipped) {
+    Parser.emplace();
+    Parser->header_limit(EndpointHeadBytes);
+    // Boost 1.74 takes an absent limit for one of 0 when a length is stated.
+    Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    if (Request_.Method == "HEAD")
+      Parser->skip(true);
+    Code Failure;
+    co_await bhttp::async_read_header(Link->Socket, Link->Buffer, *Parser,
+                                      intoCode(Failure));
+    if (Failure) {
+      Cause_ = Failure.message();
+      noteBroken(Peer);
+      MayHaveRun_ = true;
+      co_return AttemptEnd::Failed;
+    }
+    const int Status = static_cast<int>(Parser->get().result_int());
+    if (Status >= 100 && Status < 200)
+      continue;
+    const http::Headers Fields = endToEndFields(Parser->get());
+    Answer = State_.Protocol.readEndpointHead(Status, Fields);
+    // An answer to an earlier request may stand before this one's.
+    Matches = Answer.AttemptId.empty() || Head_.AttemptId.empty() ||
+              Answer.AttemptId == Head_.AttemptId;
+    while (!Matches && !Parser->is_done()) {
+      std::string Ignored;
+      const bool Read = co_await readPiece(*Link, *Parser, Ignored);
+      if (!Read) {
+        noteBroken(Peer);
+        MayHaveRun_ = true;
+        co_return AttemptEnd::Failed;
+      }
+    }
+  }
+  if (!Matches) {
+    Cause_ = "answers to other requests";
+    MayHaveRun_ = true;
+    co_return AttemptEnd::Failed;
+  }
+  const int Status = static_cast<int>(Parser->get().result_int());
+  if (Answer.ColdFor && Answer.ColdFor->count() > 0)
+    State_.Directory.markCold(Peer, *Answer.ColdFor, State_.now());
+  if (Answer.NotRun || Answer.WrongEndpoint) {
+    State_.Health.note(Peer->Number,
+                       Answer.WrongEndpoint ? EndpointOutcome::Unreachable
+                                            : EndpointOutcome::Refused,
+                       State_.now());
+    State_.Log.write("endpoint_refused", State_.now(), [&](LogLine &Line) {
+      Line.field("id", Head_.AttemptId)
+          .field("endpoint", Peer->Entry.Id)
+          .field("status", Status)
+          .field("at_fault", Answer.FaultyAddress);
+    });
+    co_return AttemptEnd::NotRun;
+  }
+  MayHaveRun_ = true;
+  const bool Success = Status >= 200 && Status < 300;
+  if (Success && !Answer.Signed) {
+    Cause_ = "success without a signature";
+    State_.Health.note(Peer->Number, EndpointOutcome::Broken, State_.now());
+    co_return AttemptEnd::Failed;
+  }
+  AttemptEnd End;
+  if (IsStream && Success) {
+    if (!AnswerBegun_)
+      CallerHead_ = makeAnswerHead(*Parser);
+    noteFirstByte(Chosen);
+    End = co_await relayStream(*Link, *Parser);
+  } else {
+    if (AnswerBegun_)
+      co_return AttemptEnd::Broken; // a resumed stream was answered otherwise
+    End = co_await relayWhole(*Link, *Parser);
+    noteFirstByte(Chosen);
+  }
+  if (End == AttemptEnd::Answered || End == AttemptEnd::FailedAnswer) {
+    State_.Health.note(Peer->Number,
+                       Status >= 500 ? EndpointOutcome::FailedAnswer
+                                     : EndpointOutcome::Answered,
+                       State_.now());
+    State_.Crashes.noteCompleted(Content_);
+    if (Sending->Done && !Sending->Failure && Parser->is_done() &&
+        Parser->keep_alive() && Ending_ == Ending::None) {
+      const std::string KeepAlive(Parser->get()[bhttp::field::keep_alive]);
+      const std::size_t At = KeepAlive.find("timeout=");
+      Link->IdleLimit = Duration(
+          At == std::string::npos
+              ? std::chrono::seconds(0)
+              : std::chrono::seconds(std::atoi(KeepAlive.c_str() + At + 8)));
+      State_.Pool.giveBack(std::move(Link), State_.now());
+    }
+  } else if (End == AttemptEnd::Failed || End == AttemptEnd::Broken) {
+    noteBroken(Peer);
+  }
+  co_return End;
+}
+
+} // namespace cassiashed::gateway
