Test reservations with processes

Cause: reservations were shown by decision tests only. Change: the replica stand-in answers orders and reports; two tests, of the release after the answer and of memory that is not kept for an engine that went dark. The stream route of the tests has 12 s, so that the order of the two does not depend on the machine's speed.

--- a/tests/process/gateway_test.py
+++ b/tests/process/gateway_test.py
@@ -33,7 +33,7 @@
     routes = routes or [
         route("/get/", "idempotent", "app"),
         route("/post/", "non_idempotent", "app"),
-        route("/stream/", "streaming", "llm", resumable=True, targetGapMs=250),
+        route("/stream/", "streaming", "llm", resumable=True, targetGapMs=250, timeoutMs=12000),
         route("/open/", "idempotent", "app", allowAnonymous=True),
         route("/short/", "non_idempotent", "app", timeoutMs=400),
     ]
@@ -266,6 +266,33 @@
         running = [each for each in self.llm if each.requests]
         self.assertTrue(running[0].closed_by_caller.wait(3))
 
+    # Memory at engines that help with a long prompt.
+
+    def order_names(self, replica):
+        return [order["operation"] for order in replica.orders]
+
+    def test_reserved_memory_is_released_after_the_answer(self):
+        status, _, body = self.call("/stream/x", "POST", b"prompt", deadline_ms=20000,
+                                    **{"Token-Counts": "300000,700"})
+        self.assertEqual((status, body), (200, EVENTS))
+        (helper,) = (each for each in self.llm if each.orders)
+        self.assertEqual(helper.requests, [])
+        self.wait_for(lambda: "release" in self.order_names(helper), "the release")
+        self.assertEqual({order["id"] for order in helper.orders}, {helper.orders[0]["id"]})
+
+    def test_memory_is_not_kept_for_an_engine_that_went_dark(self):
+        self.share_script(self.llm, ["mute"])
+        for each in self.llm:
+            each.reports, each.reservation_state = False, "held"
+        with socket.create_connection((self.gateway.host, self.gateway.port)) as peer:
+            peer.sendall(b"POST /stream/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: dark\r\n"
+                         b"Token-Counts: 300000,700\r\nAuthorization: Bearer key-1\r\nContent-Length: 0\r\n\r\n")
+            self.wait_for(lambda: self.requests(self.llm), "the request is sent")
+            (helper,) = (each for each in self.llm if each.orders)
+            helper.reports = True
+            self.wait_for(lambda: "release" in self.order_names(helper), "the release")
+            self.assertNotIn(b"event=attempt_ended id=dark", self.gateway.log_path.read_bytes())
+
     # Bad input.
 
     def test_malformed_requests_get_a_clear_answer(self):
--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -3,6 +3,7 @@
 Each request is recorded; `script` decides what it gets, in turn; the last
 entry repeats."""
 
+import json
 import socket
 import threading
 import time
@@ -31,6 +32,9 @@
     def __init__(self, identity):
         self.identity, self.script, self.requests = identity, ["ok"], []
         self.closed_by_caller = threading.Event()
+        # Memory: orders as received, the state of every reservation in reports
+        # ("held", "used"), and whether reports are answered at all.
+        self.orders, self.reservation_state, self.reports = [], "used", True
         self.event_pause = 0.02
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.port = self._listener.getsockname()[1]
@@ -61,6 +65,9 @@
                     return
                 (method, target, _), fields = head
                 body = reader.read(int(fields.get("content-length", 0)))
+                if target in ("/order", "/report"):
+                    self._answer_engine_call(connection, target, body)
+                    continue
                 behaviour = self.script.pop(0) if len(self.script) > 1 else self.script[0]
                 self.requests.append({"method": method, "target": target, "fields": fields,
                                       "body": body, "behaviour": behaviour})
@@ -72,6 +79,15 @@
             reader.close()
             connection.close()
 
+    def _answer_engine_call(self, connection, target, body):
+        if target == "/order":
+            self.orders.append(json.loads(body))
+        elif not self.reports:
+            return
+        held = {order["id"] for order in self.orders if order["operation"] == "reserve"}
+        answer = json.dumps({"tickets": [{"id": each, "state": self.reservation_state} for each in held]}).encode()
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(answer) + answer)
+
     def _head(self, status, fields, extra, attempt=None):
         lines = [f"HTTP/1.1 {status}", f"Attempt-Id: {attempt or fields.get('attempt-id', '')}"]
         return ("\r\n".join(lines + extra) + "\r\n\r\n").encode()
