--- a/src/balancing/placement.cpp
+++ b/src/balancing/placement.cpp
@@ -31,7 +31,8 @@
 constexpr double CongestionFrom = 0.4;
 /// Value lost by long reads when a short request is placed on an engine that
 /// has no stream yet, while long reads take all the time of all engines: the
-/// engine's reading then pauses a stream. It falls with the streams that are
+/// engine's reading then pauses a stream, which is about what a late short
+/// request loses. It falls with the streams that are
 /// paused anyway, by the factor e for this number of them.
 constexpr double OpeningCost = 1;
 constexpr double OpeningStreams = 3;
@@ -68,8 +69,9 @@
   return std::min(1.0, Sum / static_cast<double>(Candidates.size()));
 }
 
-/// Value of an engine's second when long reads take all the time, and the share
-/// of time from which on it has a value.
+/// Value of an engine's second when long reads take all the time: about what
+/// the short requests of a full engine are worth (slots / duration x value).
+/// Below the second share of long reads later requests find other engines.
 constexpr double ScarceSecond = 12;
 constexpr double ScarceFrom = 0.3;
 struct Assessment {
--- a/src/engine/engine_timeline.cpp
+++ b/src/engine/engine_timeline.cpp
@@ -22,7 +22,8 @@
 /// produce as much again as the factor says: lengths are spread widely.
 constexpr double OverdueFrom = 0.8;
 constexpr double OverdueFactor = 1.3;
-/// Time over which the share of long reads is averaged.
+/// Time over which the share of long reads is averaged: some of them arrive in
+/// it even when they are rare, and the mix changes within some of it.
 constexpr double LongReadMemoryMs = 3000;
 /// Callers leave a stream after this silence, or after this many of its
 /// longest pauses if that is longer.
