Share the late share of a request's value; remove an unused flag

Cause: the reading of the whole change found the same figure in two option structures and DispatchRequest::AlwaysPlace, which nothing sets. Change: admission takes the figure from placement; the flag is gone; two constants are named after the wait that they space. Behaviour unchanged.

--- a/include/cassiashed/balancing/admission.h
+++ b/include/cassiashed/balancing/admission.h
@@ -13,7 +13,7 @@
 
 struct AdmissionOptions {
   /// Share of a request's value that remains when it is late.
-  double LateShare = 0.25;
+  double LateShare = PlacementOptions().LateShare;
   /// Part of its value that a late request may cost others without waiting.
   double AllowedLoss = 0.05;
   /// Part of the time until its deadline that a late request waits at most.
--- a/include/cassiashed/balancing/dispatcher.h
+++ b/include/cassiashed/balancing/dispatcher.h
@@ -17,7 +17,6 @@
 struct DispatchRequest {
   const catalog::Service *Target = nullptr;
   PlacementRequest Work;            ///< prompt, goal and value; `Id` unique
-  bool AlwaysPlace = false;         ///< even if it would be late: it has begun
   std::set<std::uint32_t> Excluded; ///< endpoints already tried, by number
   std::vector<std::string> Regions; ///< allowed regions; empty: all
 };
--- a/src/balancing/dispatcher.cpp
+++ b/src/balancing/dispatcher.cpp
@@ -146,8 +146,7 @@
     Work.Urgent = false;
     Chosen = choosePlacement(Work, Engines, Spec, Now);
   }
-  if (!Chosen || (!Request.AlwaysPlace &&
-                  Chosen->FirstTokenMs >= Request.Work.DeadlineMs)) {
+  if (!Chosen || Chosen->FirstTokenMs >= Request.Work.DeadlineMs) {
     Result.Failure = DispatchFailure::AllBusy;
     Result.RetryAfter = BusyRetry;
     return Result;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -18,8 +18,8 @@
 constexpr double ReturnPart = 0.3;
 /// How often a late request looks for calm engines; spread so that requests
 /// which began to wait together do not look together.
-constexpr int LateStepMinMs = 40;
-constexpr int LateStepMaxMs = 90;
+constexpr int WaitStepMinMs = 40;
+constexpr int WaitStepMaxMs = 90;
 /// Token price of an output token relative to a prompt token, for the value of
 /// a request: decoding takes a step, prefill a small part of one.
 constexpr double OutputTokenWeight = 10;
@@ -220,7 +220,7 @@
             std::chrono::duration_cast<Duration>(left() * ReturnPart);
         break;
       }
-      std::uniform_int_distribution<int> Spread(LateStepMinMs, LateStepMaxMs);
+      std::uniform_int_distribution<int> Spread(WaitStepMinMs, WaitStepMaxMs);
       Step = Duration(Spread(State_.Random));
     } else if (!CanWait) {
       break;
