Refuse keys that cannot be confirmed where the deployment fails closed

Cause: the setting that keys must stop working everywhere within a bound, in touch with the store or not, was not known. A node cut off from the store and from other nodes kept serving keys that had been taken away.

Change: each node keeps a lower bound, by a clock that counts suspension, of the time up to which its copy of the operator's table is complete (TableFreshness). It comes from answers of the store, with the store's own clock for long polls, or from another node's answer to a question. One node hears from the store each fifth of the bound, the others ask it. A node whose copy is older than 95 % of the bound refuses keyed requests at once with 503, reports not ready, and looks a key up again right before each send.

Ruled out: ages in one-way messages, since a frozen receiver would take an old age for a new one.

--- /dev/null
+++ b/include/cassiashed/catalog/table_freshness.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "cassiashed/base/boot_clock.h"
+#include "cassiashed/base/clock.h"
+#include <optional>
+
+/// How current a copy of a table of the store is.
+namespace cassiashed::catalog {
+
+/// The time up to which this node's copy of one table is known to be complete.
+/// Load: nodes that lose the store, other nodes or both, freeze, or are
+/// suspended, while keys are taken away.
+///
+/// Every claim is a lower bound by this node's own boot clock, so late
+/// answers, frozen nodes and slow links make a copy look older, never newer.
+///
+/// ```cpp
+/// Freshness.noteStoreAnswer(SentAt, BootClock::now(), Answer.StoreTime);
+/// if (!Freshness.isWithin(Bound, BootClock::now()))
+///   refuse();
+/// ```
+class TableFreshness {
+public:
+  /// The store answered a read that brought the copy up to date. `StoreTime`
+  /// is the store's own steady clock at the answer, if it said so: a call that
+  /// waits for changes is answered long after it was sent.
+  void noteStoreAnswer(BootTime SentAt, BootTime ReceivedAt,
+                       std::optional<Duration> StoreTime);
+  /// A node that holds no newer row answered a question of `AskedAt`: its own
+  /// copy was `Age` old at its answer, which is later than the question.
+  void notePeerAnswer(BootTime AskedAt, Duration Age);
+
+  /// Nothing if the copy was never confirmed.
+  std::optional<Duration> age(BootTime Now) const;
+  bool isWithin(Duration Bound, BootTime Now) const;
+
+private:
+  BootTime answeredAt(BootTime SentAt, BootTime ReceivedAt, Duration StoreTime);
+
+  std::optional<BootTime> CompleteAt_;
+  /// Local time at which the store's clock was zero lies between these.
+  BootTime EpochFrom_;
+  BootTime EpochTo_;
+  std::optional<BootTime> EpochKnownAt_;
+};
+
+struct RefreshOptions {
+  /// Parts of the bound after which other nodes are asked, and after which the
+  /// store is read: enough is left for a lost datagram and another node.
+  double AskFrom = 0.2;
+  double ReadFrom = 0.35;
+  /// Parts of the bound between two questions and between two reads.
+  double AskPeriod = 0.06;
+  double ReadPeriod = 0.12;
+};
+
+enum class Refresh {
+  Nothing,
+  AskNodes,
+  ReadStore, ///< and ask nodes as well
+};
+
+/// What a node does to keep a copy within `Bound`. `Age` is empty for a copy
+/// that was never confirmed.
+Refresh nextRefresh(std::optional<Duration> Age, Duration Bound,
+                    Duration SinceAsked, Duration SinceRead,
+                    const RefreshOptions &Options = {});
+
+} // namespace cassiashed::catalog
--- a/include/cassiashed/config/gateway_settings.h
+++ b/include/cassiashed/config/gateway_settings.h
@@ -45,6 +45,11 @@
   double ColdSlack = 5;           ///< requests per second on top
   Duration ReservationMax{20000}; ///< longest reservation at an engine
   Duration ReservationFree{4000}; ///< unused memory must be free after it
+  /// Whether a node that does not know which keys are valid refuses them.
+  bool RevokeFailClosed = false;
+  /// From the acknowledgement that a key is taken away to the last request
+  /// with it that runs.
+  Duration Revoke{5000};
 };
 
 struct GatewaySettings {
--- /dev/null
+++ b/src/catalog/table_freshness_test.cpp
@@ -0,0 +1,149 @@
+#include "cassiashed/catalog/table_freshness.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace cassiashed;
+using namespace cassiashed::catalog;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds Bound{5000};
+const BootTime Start{std::chrono::hours(1)};
+
+/// A node whose copy is complete up to changes of `KnownAt`, in true time.
+struct Node {
+  TableFreshness Freshness;
+  BootTime KnownAt;
+};
+
+/// A question or a call on its way, with the moments that a fault can stretch.
+struct Exchange {
+  std::size_t From = 0;
+  std::size_t To = 0;
+  BootTime SentAt;
+  BootTime AnsweredAt;
+  BootTime ArrivesAt;
+  BootTime KnownAt;            ///< what the answer covers
+  std::optional<Duration> Age; ///< of the answering node's copy
+};
+
+} // namespace
+
+TEST_CASE("a copy that was never confirmed is not current") {
+  const TableFreshness Freshness;
+  CHECK_FALSE(Freshness.age(Start));
+  CHECK_FALSE(Freshness.isWithin(Bound, Start));
+}
+
+TEST_CASE("an answer counts from its question where the store's clock is not "
+          "known") {
+  TableFreshness Freshness;
+  Freshness.noteStoreAnswer(Start, Start + milliseconds(20000), std::nullopt);
+  CHECK(*Freshness.age(Start + milliseconds(20000)) == milliseconds(20000));
+}
+
+// Guards against a long poll whose answer counts as old as its question.
+TEST_CASE("the store's clock tells when a long poll was answered") {
+  TableFreshness Freshness;
+  Freshness.noteStoreAnswer(Start, Start + milliseconds(8), milliseconds(1004));
+  Freshness.noteStoreAnswer(Start + milliseconds(10),
+                            Start + milliseconds(20020), milliseconds(21008));
+  CHECK(*Freshness.age(Start + milliseconds(20020)) <= milliseconds(20));
+  CHECK(*Freshness.age(Start + milliseconds(20020)) >= milliseconds(8));
+}
+
+TEST_CASE("a store whose clock jumps makes no copy newer than it is") {
+  TableFreshness Freshness;
+  Freshness.noteStoreAnswer(Start, Start + milliseconds(8), milliseconds(1004));
+  Freshness.noteStoreAnswer(Start + milliseconds(10),
+                            Start + milliseconds(9000), milliseconds(60000));
+  CHECK(*Freshness.age(Start + milliseconds(9000)) == milliseconds(8990));
+}
+
+// Frozen nodes, late and one-way messages, a store that some nodes lose, and
+// chains of nodes that pass on what they heard: no copy is taken to be current
+// that lacks a change older than the bound.
+TEST_CASE("no order of events makes a copy look newer than it is") {
+  CHECK(rc::check([] {
+    const std::size_t Nodes = *rc::gen::inRange<std::size_t>(2, 6);
+    std::vector<Node> All(Nodes);
+    std::vector<Exchange> Open;
+    BootTime Now = Start;
+    const milliseconds StoreEpoch(*rc::gen::inRange(0, 100000));
+    const int Steps = *rc::gen::inRange(1, 300);
+    for (int Step = 0; Step < Steps; ++Step) {
+      const std::size_t From = *rc::gen::inRange<std::size_t>(0, Nodes);
+      const std::size_t To = *rc::gen::inRange<std::size_t>(0, Nodes + 1);
+      // A freeze of either side and a slow link lengthen both ways.
+      const auto Way = [] {
+        return milliseconds(*rc::gen::weightedElement<int>(
+            {{8, 1}, {3, 40}, {1, 3000}, {1, 12000}}));
+      };
+      if (From != To) {
+        Exchange Call{From, To, Now, Now + Way(), Now, Now, std::nullopt};
+        Call.ArrivesAt = Call.AnsweredAt + Way();
+        Open.push_back(Call);
+      }
+      Now += milliseconds(*rc::gen::inRange(1, 700));
+      std::sort(Open.begin(), Open.end(),
+                [](const Exchange &Left, const Exchange &Right) {
+                  return Left.AnsweredAt < Right.AnsweredAt;
+                });
+      for (Exchange &Call : Open)
+        if (!Call.Age && Call.AnsweredAt <= Now) {
+          Call.KnownAt =
+              Call.To == Nodes ? Call.AnsweredAt : All[Call.To].KnownAt;
+          Call.Age = Duration(0);
+          if (Call.To < Nodes)
+            Call.Age = All[Call.To]
+                           .Freshness.age(Call.AnsweredAt)
+                           .value_or(Duration(-1));
+        }
+      std::erase_if(Open, [&](const Exchange &Call) {
+        if (!Call.Age || Call.ArrivesAt > Now)
+          return false;
+        Node &Asker = All[Call.From];
+        const bool IsLost = *rc::gen::inRange(0, 5) == 0;
+        if (IsLost || *Call.Age < Duration(0))
+          return true;
+        if (Call.To == Nodes) {
+          Asker.KnownAt = std::max(Asker.KnownAt, Call.KnownAt);
+          Asker.Freshness.noteStoreAnswer(
+              Call.SentAt, Call.ArrivesAt,
+              std::chrono::floor<Duration>(Call.AnsweredAt - Start) +
+                  StoreEpoch);
+        } else if (Call.KnownAt <= Asker.KnownAt) {
+          Asker.Freshness.notePeerAnswer(Call.SentAt, *Call.Age);
+        } else {
+          // The rows come first, the confirmation with a later question.
+          Asker.KnownAt = Call.KnownAt;
+        }
+        return true;
+      });
+      for (const Node &Each : All) {
+        const std::optional<Duration> Age = Each.Freshness.age(Now);
+        // Times of the store are cut to milliseconds.
+        if (Age)
+          RC_ASSERT(Now - *Age <= Each.KnownAt + milliseconds(1));
+      }
+    }
+  }));
+}
+
+TEST_CASE("nodes are asked before the store is read, and both not too often") {
+  const auto Next = [](int AgeMs, int SinceAskedMs, int SinceReadMs) {
+    return nextRefresh(milliseconds(AgeMs), Bound, milliseconds(SinceAskedMs),
+                       milliseconds(SinceReadMs));
+  };
+  CHECK(Next(900, 9000, 9000) == Refresh::Nothing);
+  CHECK(Next(1000, 9000, 9000) == Refresh::AskNodes);
+  CHECK(Next(1000, 100, 9000) == Refresh::Nothing);
+  CHECK(Next(2000, 9000, 9000) == Refresh::ReadStore);
+  CHECK(Next(2000, 9000, 100) == Refresh::AskNodes);
+  CHECK(Next(2000, 100, 100) == Refresh::Nothing);
+  CHECK(nextRefresh(std::nullopt, Bound, Bound, Bound) == Refresh::ReadStore);
+}
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -114,6 +114,10 @@
         "reservation_max_ms", MillisecondsForm),
     makeRule<&GatewayBounds::ReservationFree, parseMilliseconds>(
         "reservation_free_ms", MillisecondsForm),
+    makeRule<&GatewayBounds::RevokeFailClosed, parseYesNo>("revoke_fail_closed",
+                                                           "yes or no"),
+    makeRule<&GatewayBounds::Revoke, parseMilliseconds>("revoke_ms",
+                                                        MillisecondsForm),
 };
 
 struct GatewaySection {
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -26,6 +26,8 @@
 constexpr double TokensPerValue = 10000;
 constexpr Duration QuarantineRetry{5000};
 constexpr Duration NoConfigRetry{1000};
+/// Another node may know the keys; callers reach one when they come back.
+constexpr Duration KeysUnknownRetry{300};
 
 } // namespace
 
@@ -52,6 +54,11 @@
     return 404;
   }
   if (Config_->HasWorkspaces) {
+    const bool NeedsKey = !Route_->AllowsAnonymous || !Head_.ApiKey.empty();
+    if (NeedsKey && !State_.knowsKeys()) {
+      Reason = "cannot tell which keys are valid";
+      return 503;
+    }
     Workspace_ = Config_->findWorkspace(Head_.ApiKey);
     if (!Workspace_ && !Route_->AllowsAnonymous) {
       Reason = "unknown key";
@@ -66,6 +73,15 @@
   return 0;
 }
 
+bool Exchange::keyStillHolds() const {
+  if (!Workspace_ || !State_.Settings.Bounds.RevokeFailClosed)
+    return true;
+  if (!State_.knowsKeys())
+    return false;
+  const catalog::Workspace *Now = State_.Config->findWorkspace(Head_.ApiKey);
+  return Now && Now->Name == Workspace_->Name;
+}
+
 std::string Exchange::chooseService() {
   double Total = 0;
   for (const catalog::WeightedService &Each : Route_->Services)
@@ -231,7 +247,7 @@
 }
 
 bool Exchange::mayTryAgain(AttemptEnd End) {
-  if (Ending_ != Ending::None)
+  if (Ending_ != Ending::None || KeyLapsed_)
     return false;
   switch (End) {
   case AttemptEnd::Answered:
@@ -265,7 +281,7 @@
   if (Refusal != 0) {
     std::optional<Duration> RetryAfter;
     if (Refusal == 503)
-      RetryAfter = NoConfigRetry;
+      RetryAfter = Config_ ? KeysUnknownRetry : NoConfigRetry;
     co_await answerOwn(Refusal, RetryAfter, Reason);
   } else {
     prepareWork();
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -208,6 +208,11 @@
       co_await answerOwn(502, std::nullopt, "the endpoint failed");
     co_return;
   }
+  if (KeyLapsed_) {
+    // At another attempt the key is looked up anew.
+    co_await answerOwn(503, Duration(0), "the key may have been taken away");
+    co_return;
+  }
   std::optional<Duration> RetryAfter = Chosen.RetryAfter;
   std::string Reason(balancing::nameOf(Chosen.Failure));
   if (Chosen.Failure == balancing::DispatchFailure::None) {
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -213,6 +213,11 @@
   LinkRef Link;
   if (Ending_ == Ending::None)
     Link = co_await openLink(Peer);
+  KeyLapsed_ = Ending_ == Ending::None && !keyStillHolds();
+  if (KeyLapsed_) {
+    releaseReservations();
+    co_return AttemptEnd::NotSent;
+  }
   // The endpoint may have left while the connection was made.
   if (!Link || Ending_ != Ending::None || !State_.Directory.isUsable(*Peer)) {
     Wanted_.Excluded.insert(Peer->Number);
--- a/src/gateway/exchange_parts.h
+++ b/src/gateway/exchange_parts.h
@@ -62,6 +62,9 @@
   void prepareWork();
   /// Whether the process stops before the request could end.
   bool isTooLateToStart() const;
+  /// Whether the key of the request is still valid, as far as that has to be
+  /// known. Asked again right before each send: the request may have waited.
+  bool keyStillHolds() const;
   std::string chooseService();
 
   // Time limits and the caller's end.
@@ -133,6 +136,7 @@
   bool AnswerBegun_ = false;
   bool AnswerComplete_ = false;
   bool WorkActive_ = false;
+  bool KeyLapsed_ = false; ///< taken away, or not known to hold, before a send
   bool FirstByteSeen_ = false;
   TimePoint SentAt_;
   TimePoint LastPieceAt_; ///< of the stream; unset before the first piece
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -119,6 +119,12 @@
     Events.EndpointRows = [this](std::vector<catalog::Row> Rows) {
       Rows_->takeFromPeer(catalog::Table::Endpoints, std::move(Rows));
     };
+    Events.OperatorAge = [this] {
+      return State_.OperatorFreshness.age(BootClock::now());
+    };
+    Events.OperatorConfirmed = [this](BootTime AskedAt, Duration Age) {
+      State_.OperatorFreshness.notePeerAnswer(AskedAt, Age);
+    };
     Events.NewerRows = [this](catalog::Table Which, http::Address Peer) {
       Rows_->fetchFrom(Which, std::move(Peer));
     };
@@ -150,13 +156,53 @@
 
   bool isReady() const {
     return !State_.Stopping && State_.Config &&
-           Rows_->hasRead(catalog::Table::Endpoints);
+           Rows_->hasRead(catalog::Table::Endpoints) && knowsNeededKeys();
+  }
+
+  /// Callers with keys are better off at a node that knows them.
+  bool knowsNeededKeys() const {
+    return !State_.Config->HasWorkspaces || State_.knowsKeys();
+  }
+
+  /// Keeps the operator's table current where a node must know which keys are
+  /// valid.
+  void keepCurrent() {
+    const GatewayBounds &Bounds = State_.Settings.Bounds;
+    if (!Bounds.RevokeFailClosed)
+      return;
+    const BootTime Now = BootClock::now();
+    const std::optional<Duration> Age = State_.OperatorFreshness.age(Now);
+    const auto Since = [Now](BootTime At) {
+      return std::chrono::duration_cast<Duration>(Now - At);
+    };
+    const catalog::Refresh Next = catalog::nextRefresh(
+        Age, Bounds.Revoke, Since(AskedAt_), Since(ConfirmedAt_));
+    if (Next == catalog::Refresh::ReadStore) {
+      ConfirmedAt_ = Now;
+      Rows_->confirmOperatorRows();
+    }
+    if (Next != catalog::Refresh::Nothing) {
+      AskedAt_ = Now;
+      State_.Nodes->askOperatorAge();
+    }
+    const bool Knows = State_.knowsKeys();
+    if (Knows == KnewKeys_)
+      return;
+    KnewKeys_ = Knows;
+    (Knows ? logEvent("keys_known") : logWarning("keys_unknown"))
+        .field("age_ms", Age ? Age->count() : -1)
+        .field("bound_ms", Bounds.Revoke.count())
+        .field("config", State_.Config ? State_.Config->Version : 0);
   }
 
   http::Response answerReadiness(const http::Request & /*Call*/) {
     if (isReady())
       return {200, {}, "ready\n"};
-    return {503, {}, State_.Stopping ? "stopping\n" : "no configuration\n"};
+    if (State_.Stopping)
+      return {503, {}, "stopping\n"};
+    const bool Read =
+        State_.Config && Rows_->hasRead(catalog::Table::Endpoints);
+    return {503, {}, Read ? "keys unknown\n" : "no configuration\n"};
   }
 
   http::Response answerMetrics(const http::Request & /*Call*/) {
@@ -223,6 +269,7 @@
     const TimePoint Now = State_.now();
     Updater_.tick(Now);
     State_.Load.expire(Now);
+    keepCurrent();
     if (Now - LastHousekeeping_ >= HousekeepingPeriod) {
       LastHousekeeping_ = Now;
       State_.Pool.dropExpired(Now);
@@ -323,6 +370,9 @@
     Metrics.setGauge("possible_nodes", State_.Nodes->possibleNodes());
     Metrics.setGauge("store_answers", Rows_->storeAnswers() ? 1 : 0);
     Metrics.setGauge("ready", isReady() ? 1 : 0);
+    const auto Age = State_.OperatorFreshness.age(BootClock::now());
+    Metrics.setGauge("operator_rows_age_seconds",
+                     Age ? std::chrono::duration<double>(*Age).count() : -1);
   }
 
   asio::io_context Context_;
@@ -340,6 +390,9 @@
   std::unique_ptr<http::Server> Metrics_;
   TimePoint LastHousekeeping_;
   TimePoint LastSettingsCheck_;
+  BootTime AskedAt_;     ///< other nodes, for their rows' age
+  BootTime ConfirmedAt_; ///< the last read that only confirms rows
+  bool KnewKeys_ = true;
   std::filesystem::file_time_type SettingsTime_;
 };
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -11,6 +11,9 @@
 constexpr Duration CrashWindow{6000};
 /// Nodes that join before this one hears of them are covered by this factor.
 constexpr double JoiningNodes = 1.25;
+/// Part of the bound on revoked keys that is left for a request on its way to
+/// an endpoint.
+constexpr double RevokeMargin = 0.05;
 
 balancing::ColdShareOptions coldOptions(const GatewayBounds &Bounds) {
   return {Bounds.ColdOverage, Bounds.ColdSlack};
@@ -51,6 +54,14 @@
   return std::max(1, Target->ConnectionLimit / sharingNodes());
 }
 
+bool GatewayState::knowsKeys() const {
+  if (!Settings.Bounds.RevokeFailClosed)
+    return true;
+  const auto Bound = std::chrono::duration_cast<Duration>(
+      Settings.Bounds.Revoke * (1 - RevokeMargin));
+  return OperatorFreshness.isWithin(Bound, BootClock::now());
+}
+
 void GatewayState::applyBounds() {
   Cold.setOptions(coldOptions(Settings.Bounds));
   Retries.setOptions(retryOptions(Settings.Bounds));
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -3,6 +3,7 @@
 #include "cassiashed/balancing/crash_history.h"
 #include "cassiashed/balancing/dispatcher.h"
 #include "cassiashed/balancing/retry_share.h"
+#include "cassiashed/catalog/table_freshness.h"
 #include "cassiashed/config/gateway_settings.h"
 #include "gateway/decision_log.h"
 #include "gateway/dialect.h"
@@ -37,6 +38,8 @@
   /// The configuration in force; null until the first one was read. Requests
   /// keep the one that they began with.
   std::shared_ptr<const catalog::ServiceConfig> Config;
+  /// How current the operator's table is, keys included.
+  catalog::TableFreshness OperatorFreshness;
   catalog::EndpointDirectory Directory;
   balancing::FleetLoad Load;
   balancing::EndpointHealth Health;
@@ -60,6 +63,9 @@
   /// Connections that this node may hold to an endpoint: its share of what the
   /// endpoint accepts from all nodes, at least one.
   int connectionShare(const catalog::KnownEndpoint &Which) const;
+  /// Whether this node knows which keys are valid: always, unless the
+  /// deployment wants keys refused where that cannot be known.
+  bool knowsKeys() const;
   /// Puts changed bounds of the settings into effect.
   void applyBounds();
   /// Confirms the broken runs of an endpoint that has ended as crashes.
--- a/src/gateway/node_messages.h
+++ b/src/gateway/node_messages.h
@@ -70,9 +70,17 @@
   /// Addresses of nodes that the sender hears, for those that cannot read the
   /// nodes' table.
   std::vector<std::string> KnownNodes;
+  /// The sender asks how current the receiver's copy of the operator's table
+  /// is. A stamp of its own clock; 0: no question.
+  std::uint64_t FreshnessAskedAt = 0;
+  /// The stamp of the question that this message answers; 0: no answer.
+  std::uint64_t FreshnessAnswerTo = 0;
+  /// Age of the sender's copy when it answered.
+  std::int64_t OperatorAgeMs = 0;
   MSGPACK_DEFINE(Format, Node, Incarnation, OperatorRow, EndpointRow, Following,
                  EndpointRows, Started, FirstTokens, Finished, Crashes,
-                 SilentEndpoints, KnownNodes)
+                 SilentEndpoints, KnownNodes, FreshnessAskedAt,
+                 FreshnessAnswerTo, OperatorAgeMs)
 };
 
 WorkStarted describeWork(const balancing::Assignment &Work);
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -3,9 +3,12 @@
 #include "cassiashed/base/event_log.h"
 #include "cassiashed/base/hash.h"
 #include "http/asio.h"
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/udp.hpp>
+#include <deque>
 #include <map>
+#include <random>
 
 namespace cassiashed::gateway {
 namespace {
@@ -37,6 +40,10 @@
 /// is replaced, well within the bounds on leaving endpoints.
 constexpr Duration FollowerHeartbeat{400};
 constexpr Duration FollowerSilence{1100};
+/// Nodes that are asked at once how current their rows are: one may have died.
+constexpr std::size_t AskedNodes = 2;
+/// Questions whose answers are still taken.
+constexpr std::size_t OpenQuestions = 8;
 
 struct Peer {
   std::string Name; ///< empty for a seed that was not heard yet
@@ -102,13 +109,19 @@
     EndpointRow_ = EndpointRow;
   }
   bool shouldFollow() const override {
-    const TimePoint Now = std::chrono::steady_clock::now();
-    int Before = 0;
-    for (const auto &[Host, Entry] : Peers_)
-      if (Entry.Following && Entry.Rank < Rank_ &&
-          Now - Entry.LastHeard < FollowerSilence)
-        ++Before;
-    return Before < FollowerCount;
+    return betterFollowers() < FollowerCount;
+  }
+  bool isFirstFollower() const override { return betterFollowers() == 0; }
+  void askOperatorAge() override {
+    NodeMessage Message = makeMessage();
+    Message.FreshnessAskedAt =
+        static_cast<std::uint64_t>(BootClock::now().time_since_epoch().count());
+    Questions_.push_back(Message.FreshnessAskedAt);
+    if (Questions_.size() > OpenQuestions)
+      Questions_.pop_front();
+    const std::string Bytes = packMessage(Message);
+    for (const Peer *Each : nodesToAsk())
+      send(Bytes, Each->Where);
   }
   void setFollowing(bool Following) override {
     if (Following == Following_)
@@ -169,6 +182,59 @@
     return Entry.WasHeard && Now - Entry.LastHeard < SilentAfter;
   }
 
+  /// Nodes that come before this one and say that they follow the table.
+  int betterFollowers() const {
+    const TimePoint Now = std::chrono::steady_clock::now();
+    return static_cast<int>(
+        std::count_if(Peers_.begin(), Peers_.end(), [&](const auto &Known) {
+          return Known.second.Following && Known.second.Rank < Rank_ &&
+                 Now - Known.second.LastHeard < FollowerSilence;
+        }));
+  }
+
+  /// The first followers, and others at random where these are too few.
+  std::vector<const Peer *> nodesToAsk() {
+    const TimePoint Now = std::chrono::steady_clock::now();
+    std::vector<const Peer *> Live;
+    for (const auto &[Host, Entry] : Peers_)
+      if (isLive(Entry, Now))
+        Live.push_back(&Entry);
+    std::shuffle(Live.begin(), Live.end(), Random_);
+    std::stable_sort(Live.begin(), Live.end(),
+                     [](const Peer *Left, const Peer *Right) {
+                       if (Left->Following != Right->Following)
+                         return Left->Following;
+                       return Left->Following && Left->Rank < Right->Rank;
+                     });
+    // The first follower knows best; the other one asked varies.
+    if (Live.size() > AskedNodes)
+      std::shuffle(Live.begin() + 1, Live.end(), Random_);
+    Live.resize(std::min(Live.size(), AskedNodes));
+    return Live;
+  }
+
+  void answerFreshness(std::uint64_t AskedAt) {
+    const std::optional<Duration> Age = Events_.OperatorAge();
+    if (!Age)
+      return;
+    NodeMessage Reply = makeMessage();
+    Reply.FreshnessAnswerTo = AskedAt;
+    Reply.OperatorAgeMs = Age->count();
+    send(packMessage(Reply), Sender_);
+  }
+
+  void takeFreshness(const NodeMessage &Message) {
+    // Only answers to own questions count, and only from nodes that know no
+    // change that this one lacks.
+    const auto Question = std::find(Questions_.begin(), Questions_.end(),
+                                    Message.FreshnessAnswerTo);
+    if (Question == Questions_.end() || Message.OperatorRow > OperatorRow_ ||
+        Message.OperatorAgeMs < 0)
+      return;
+    Events_.OperatorConfirmed(BootTime(std::chrono::nanoseconds(*Question)),
+                              Duration(Message.OperatorAgeMs));
+  }
+
   Peer *peerAt(const std::string &Host) {
     const auto Found = Peers_.find(Host);
     if (Found != Peers_.end())
@@ -247,6 +313,10 @@
       Events_.EndpointRows(std::move(Rows));
     }
     noteVersions(*Message);
+    if (Message->FreshnessAskedAt != 0)
+      answerFreshness(Message->FreshnessAskedAt);
+    if (Message->FreshnessAnswerTo != 0)
+      takeFreshness(*Message);
   }
 
   void noteVersions(const NodeMessage &Message) {
@@ -366,6 +436,8 @@
   std::uint64_t OperatorRow_ = 0;
   std::uint64_t EndpointRow_ = 0;
   NodeMessage Pending_;
+  std::deque<std::uint64_t> Questions_; ///< stamps of the latest ones
+  std::minstd_rand Random_{std::random_device{}()};
 };
 
 } // namespace
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "cassiashed/balancing/fleet_load.h"
+#include "cassiashed/base/boot_clock.h"
 #include "cassiashed/catalog/row_mirror.h"
 #include "gateway/node_messages.h"
 #include "http/message.h"
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,11 @@
   std::function<void(std::uint32_t Origin)> NodeLost;
   /// Rows of the endpoints' table that a node read from the store.
   std::function<void(std::vector<catalog::Row>)> EndpointRows;
+  /// Age of this node's copy of the operator's table; nothing if unknown.
+  std::function<std::optional<Duration>()> OperatorAge;
+  /// A node that holds no newer row of the operator's table says how old its
+  /// copy was after `AskedAt`.
+  std::function<void(BootTime AskedAt, Duration Age)> OperatorConfirmed;
   /// A node holds rows that this one has not seen yet.
   std::function<void(catalog::Table, http::Address Peer)> NewerRows;
 };
@@ -52,6 +59,11 @@
   /// Whether this node should follow the endpoints' table at the store: too
   /// few nodes that come before it say that they do.
   virtual bool shouldFollow() const = 0;
+  /// Whether no better-ranked node says that it follows the table.
+  virtual bool isFirstFollower() const = 0;
+  /// Asks some nodes how current their copy of the operator's table is, those
+  /// that follow tables first.
+  virtual void askOperatorAge() = 0;
   /// Tells the other nodes whether this one follows the table.
   virtual void setFollowing(bool Following) = 0;
 
--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -15,6 +15,11 @@
 /// priced; a connection that went silent is noticed after this time at the
 /// latest, and earlier through the versions that other nodes report.
 constexpr Duration FollowWait{20000};
+/// Where keys are refused that nobody can vouch for, one node hears from the
+/// store this often, in parts of the bound; the others ask it.
+constexpr double ConfirmPart = 0.2;
+/// A read that only confirms what is known.
+constexpr Duration NoWait{1};
 /// Changes of the configuration within this time are read with one call.
 constexpr Duration OperatorPause{200};
 /// How often a node that does not follow a table checks whether it should.
@@ -40,6 +45,11 @@
       asio::co_spawn(State_.Context, follow(Which), asio::detached);
   }
 
+  void confirmOperatorRows() override {
+    if (!Confirming_)
+      asio::co_spawn(State_.Context, confirm(), asio::detached);
+  }
+
   void fetchFrom(Table Which, http::Address Peer) override {
     asio::co_spawn(State_.Context, fetch(Which, std::move(Peer)),
                    asio::detached);
@@ -76,14 +86,15 @@
         continue;
       }
       StoreRows Result;
+      const BootTime SentAt = BootClock::now();
       if (ReadAll)
         Result = co_await Store_.readAll(Which);
       else
         Result = co_await Store_.waitForChanges(Which, mirror(Which).version(),
-                                                FollowWait);
+                                                followWait(Which));
       noteAnswer(Which, Result);
       if (Result.Status == StoreStatus::Ok) {
-        take(Which, Result, ReadAll);
+        take(Which, Result, ReadAll, SentAt);
         ReadAll = false;
         Pause = FirstPause;
         if (Which == Table::Operator)
@@ -99,6 +110,34 @@
     }
   }
 
+  Duration followWait(Table Which) const {
+    const GatewayBounds &Bounds = State_.Settings.Bounds;
+    if (Which == Table::Operator && Bounds.RevokeFailClosed &&
+        State_.Nodes->isFirstFollower())
+      return std::chrono::duration_cast<Duration>(Bounds.Revoke * ConfirmPart);
+    return FollowWait;
+  }
+
+  http::Task<void> confirm() {
+    Confirming_ = true;
+    const BootTime SentAt = BootClock::now();
+    bool ReadAll = false;
+    StoreRows Result = co_await Store_.waitForChanges(
+        Table::Operator, mirror(Table::Operator).version(), NoWait);
+    if (Result.Status == StoreStatus::HistoryGone) {
+      ReadAll = true;
+      Result = co_await Store_.readAll(Table::Operator);
+    }
+    if (Result.Status == StoreStatus::Ok)
+      take(Table::Operator, Result, ReadAll, SentAt);
+    else
+      State_.Log.write("confirm_failed", State_.now(), [&](LogLine &Line) {
+        Line.field("table", nameOf(Table::Operator))
+            .field("reason", Result.Reason);
+      });
+    Confirming_ = false;
+  }
+
   /// Whether this node follows the table at the store. The endpoints' table
   /// changes often; a few nodes follow it and pass the changes on.
   bool mayFollow(Table Which) {
@@ -110,12 +149,16 @@
     return Should;
   }
 
-  void take(Table Which, StoreRows &Result, bool ReadAll) {
+  void take(Table Which, StoreRows &Result, bool ReadAll, BootTime SentAt) {
+    const std::optional<Duration> StoreTime = Result.StoreTime;
     const std::vector<Row> News =
         ReadAll
             ? mirror(Which).replaceAll(std::move(Result.Rows), Result.Version)
             : mirror(Which).merge(std::move(Result.Rows), Result.Version);
     report(Which, News, "store");
+    if (Which == Table::Operator)
+      State_.OperatorFreshness.noteStoreAnswer(SentAt, BootClock::now(),
+                                               StoreTime);
     if (Which == Table::Endpoints && !News.empty())
       State_.Nodes->announceEndpointRows(News);
   }
@@ -182,6 +225,7 @@
   OnRows Notify_;
   std::array<RowMirror, catalog::TableCount> Mirrors_;
   bool Answers_ = true;
+  bool Confirming_ = false;
   TimePoint RegainedAt_;
 };
 
--- a/src/gateway/row_follower.h
+++ b/src/gateway/row_follower.h
@@ -18,6 +18,8 @@
       std::function<void(catalog::Table, const std::vector<catalog::Row> &)>;
 
   virtual ~RowFollower() = default;
+  /// Reads the operator's changes at once, unless a read is under way.
+  virtual void confirmOperatorRows() = 0;
   /// Reads the newer rows of a table from another node.
   virtual void fetchFrom(catalog::Table Which, http::Address Peer) = 0;
   /// Rows that another node has read from the store.
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -4,6 +4,7 @@
 #include "cassiashed/catalog/row_mirror.h"
 #include "http/asio.h"
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,7 +21,9 @@
   StoreStatus Status = StoreStatus::Unreachable;
   std::vector<catalog::Row> Rows;
   std::uint64_t Version = 0; ///< of the store, up to which Rows are complete
-  std::string Reason;        ///< of a failure
+  /// The store's own steady clock when it answered, if it said so.
+  std::optional<Duration> StoreTime;
+  std::string Reason; ///< of a failure
 };
 
 /// The calls of the platform's store that a gateway makes.
--- a/tests/process/gateway_test.py
+++ b/tests/process/gateway_test.py
@@ -49,16 +49,18 @@
 class Gateway:
     """One gateway process. `names` counts up, so that several can be started."""
 
-    def __init__(self, directory, name, store, grace_s=8, host="127.0.0.1", seeds=()):
-        self.port, self.ready_port, self.internal_port = free_ports(3)
+    def __init__(self, directory, name, store, grace_s=8, host="127.0.0.1", seeds=(), internal_port=None,
+                 store_port=None, bounds=""):
+        self.port, self.ready_port, free_port = free_ports(3)
+        self.internal_port = internal_port or free_port
         self.host = host
         settings = pathlib.Path(directory) / f"{name}.ini"
         self.log_path = pathlib.Path(directory) / f"{name}.log"
         settings.write_text(
             f"[gateway]\nname = {name}\nzone = za\nregion = r\nlisten = {host}:{self.port}\n"
             f"readiness = {host}:{self.ready_port}\ninternal = {host}:{self.internal_port}\n"
-            f"[store]\naddress = 127.0.0.1:{store.port}\n[cluster]\nseeds = {','.join(seeds)}\n"
-            f"zone_regions = za:r\n[bounds]\ngrace_s = {grace_s}\n")
+            f"[store]\naddress = 127.0.0.1:{store_port or store.port}\n[cluster]\nseeds = {','.join(seeds)}\n"
+            f"zone_regions = za:r\n[bounds]\ngrace_s = {grace_s}\n{bounds}")
         self._log = open(self.log_path, "wb")
         self.process = subprocess.Popen(
             [str(BUILD / "apps/cassiashed/cassiashed"), "gateway", "--settings", str(settings)],
@@ -341,6 +343,45 @@
         self.store.remove("op", "evacuate/za")
         self.wait_for(lambda: self.call("/get/x")[0] == 200, "the zone is back")
 
+    # Keys that may have been taken away.
+
+    FAIL_CLOSED = "revoke_fail_closed = yes\nrevoke_ms = 1500\n"
+
+    def test_keys_are_refused_once_they_cannot_be_confirmed(self):
+        closed = self.start_gateway("closed", bounds=self.FAIL_CLOSED)
+        time.sleep(3)
+        self.assertEqual(self.call("/get/x", gateway=closed)[0], 200, "confirmed by the store")
+        self.store.mode = "silent"
+        lost = time.monotonic()
+        self.wait_for(lambda: self.call("/get/x", gateway=closed)[0] == 503, "the key is refused", 5)
+        self.assertLess(time.monotonic() - lost, 2.5)
+        self.assertFalse(closed.is_ready())
+        status, fields, _ = self.call("/get/x", gateway=closed)
+        self.assertEqual(status, 503)
+        self.assertGreater(float(fields["Retry-After"]), 0)
+        self.assertEqual(self.call("/open/x", key=None, gateway=closed)[0], 200, "needs no key")
+        self.assertEqual(self.call("/get/x")[0], 200, "another deployment fails open")
+        self.store.mode = "ok"
+        self.wait_for(lambda: self.call("/get/x", gateway=closed)[0] == 200, "the key is known again", 8)
+        self.wait_for(closed.is_ready, "ready again")
+
+    def test_a_node_that_hears_of_the_store_from_another_keeps_serving(self):
+        first = self.start_gateway("first", bounds=self.FAIL_CLOSED)
+        # Its store does not exist; it learns the rows and their age from the first one.
+        second = self.start_gateway("second", bounds=self.FAIL_CLOSED, host="127.0.0.2", store_port=1,
+                                    seeds=[f"127.0.0.1:{first.internal_port}"], internal_port=first.internal_port)
+        time.sleep(3)
+        for _ in range(10):
+            self.assertEqual(self.call("/get/x", gateway=second)[0], 200)
+            time.sleep(0.1)
+        self.store.put("op", "config", make_config(9, keys=["key-2"]))
+        self.wait_for(lambda: self.call("/get/x", gateway=second)[0] == 401, "the key is gone", 1.5)
+        first.process.send_signal(signal.SIGSTOP)
+        self.addCleanup(first.process.send_signal, signal.SIGCONT)
+        self.wait_for(lambda: self.call("/get/x", key="key-2", gateway=second)[0] == 503, "nobody confirms", 5)
+        first.process.send_signal(signal.SIGCONT)
+        self.wait_for(lambda: self.call("/get/x", key="key-2", gateway=second)[0] == 200, "confirmed again", 5)
+
     def test_requests_are_served_while_the_store_is_away(self):
         self.store.mode = "busy"
         self.assertEqual(self.call("/get/x")[0], 200)
