--- a/src/gateway/event_assembler.cpp
+++ b/src/gateway/event_assembler.cpp
@@ -5,25 +5,31 @@
 namespace cassiashed::gateway {
 namespace {
 
-/// Position after the last blank line, which ends an event; 0 if there is
-/// none.
-std::size_t endOfLastEvent(std::string_view Text) {
-  const auto After = [](std::size_t At, std::size_t Length) {
-    return At == std::string_view::npos ? 0 : At + Length;
+/// The blank line that ends an event may begin in the bytes that were there
+/// before.
+constexpr std::size_t LongestEnd = 4;
+
+/// Position after the last blank line at or after `From`; 0 if there is none.
+std::size_t endOfLastEvent(std::string_view Text, std::size_t From) {
+  const auto After = [From](std::size_t At, std::size_t Length) {
+    return At == std::string_view::npos ? 0 : From + At + Length;
   };
-  return std::max(After(Text.rfind("\n\n"), 2),
-                  After(Text.rfind("\r\n\r\n"), 4));
+  const std::string_view Searched = Text.substr(From);
+  return std::max(After(Searched.rfind("\n\n"), 2),
+                  After(Searched.rfind("\r\n\r\n"), 4));
 }
 
 } // namespace
 
 std::string EventAssembler::take(std::string_view Bytes) {
   Rest_.append(Bytes);
-  const std::size_t End = endOfLastEvent(Rest_);
+  const std::size_t End = endOfLastEvent(Rest_, Searched_);
+  Searched_ = Rest_.size() - std::min(Rest_.size(), LongestEnd - 1);
   if (End == 0)
     return {};
   std::string Complete = Rest_.substr(0, End);
   Rest_.erase(0, End);
+  Searched_ = 0;
   noteIds(Complete);
   return Complete;
 }
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -9,6 +9,8 @@
 /// one that breaks off can be replaced by another attempt.
 constexpr std::size_t BufferedAnswerBytes = 64 * 1024;
 constexpr std::size_t PieceBytes = 8 * 1024;
+/// Bytes of an answer that states no length; one that never ends is cut off.
+constexpr std::size_t UnstatedAnswerBytes = 16 * 1024 * 1024;
 /// Silence after which a running stream goes to another endpoint, in longest
 /// pauses.
 constexpr double SilencePauses = 3;
@@ -80,15 +82,17 @@
   const bool ByEvents =
       Route_->Resumable && CallerHead_.Body != Framing::Length;
   std::string Piece;
+  setSilenceLimit(State_.now() + Silence);
   while (true) {
-    setSilenceLimit(State_.now() + Silence);
     const bool Read = co_await readPiece(Link, Parser, Piece);
     const bool Complete = Read && Parser.is_done();
-    if (!Read) {
+    std::string Out = ByEvents ? Events_.take(Piece) : Piece;
+    if (Events_.isOversized())
+      Cause_ = "an event without end";
+    if (!Read || Events_.isOversized()) {
       Events_.dropRest();
       co_return AnswerBegun_ ? AttemptEnd::Broken : AttemptEnd::Failed;
     }
-    std::string Out = ByEvents ? Events_.take(Piece) : Piece;
     if (Complete && ByEvents) {
       Out += Events_.rest();
       Events_.dropRest();
@@ -107,6 +111,8 @@
       const bool Written = co_await writeToCaller(std::move(Bytes));
       if (!Written)
         co_return AttemptEnd::Broken;
+      // Bytes that complete no event count as silence.
+      setSilenceLimit(State_.now() + Silence);
     }
     if (Complete) {
       AnswerComplete_ = true;
@@ -140,6 +146,7 @@
   std::string Bytes = formatAnswerHead(Answer.Head);
   Bytes += Answer.Head.Body == Framing::Chunked ? formatChunk(Answer.Body)
                                                 : Answer.Body;
+  std::size_t Passed = Answer.Body.size();
   Answer.Body.clear();
   while (true) {
     const bool Written = co_await writeToCaller(std::move(Bytes));
@@ -148,6 +155,11 @@
     if (Parser.is_done())
       break;
     const bool Read = co_await readPiece(Link, Parser, Piece);
+    Passed += Piece.size();
+    if (!Parser.content_length() && Passed > UnstatedAnswerBytes) {
+      Cause_ = "an answer without end";
+      co_return AttemptEnd::Broken;
+    }
     if (!Read)
       co_return AttemptEnd::Broken;
     Bytes = Answer.Head.Body == Framing::Chunked && !Piece.empty()
--- a/src/gateway/gateway_parts_test.cpp
+++ b/src/gateway/gateway_parts_test.cpp
@@ -30,6 +30,24 @@
   }));
 }
 
+// Guards against a server that sends one event without end: memory and time
+// per piece stay bounded.
+TEST_CASE("an event without end is noticed") {
+  EventAssembler Events;
+  CHECK(Events.take("id: 1\ndata: a\n\n") == "id: 1\ndata: a\n\n");
+  const std::string Piece(1000, 'x');
+  int Pieces = 0;
+  while (!Events.isOversized()) {
+    CHECK(Events.take(Piece).empty());
+    ++Pieces;
+  }
+  CHECK(Pieces == EventAssembler::MaxEventBytes / Piece.size() + 1);
+  Events.dropRest();
+  CHECK_FALSE(Events.isOversized());
+  CHECK(Events.take("id: 2\n").empty());
+  CHECK(Events.take("\nrest") == "id: 2\n\n");
+}
+
 TEST_CASE("fields of the connection do not pass") {
   bhttp::request<bhttp::empty_body> Request;
   Request.set(bhttp::field::connection, "close, X-Hop");
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -17,7 +17,6 @@
 /// A peer that cannot be reached is noticed after it, also while a call waits
 /// for an answer that may take long.
 constexpr std::chrono::seconds DeadPeerLimit{3};
-constexpr std::size_t MaxReplyBytes = 64 * 1024 * 1024;
 
 auto intoCode(Code &Result) {
   return asio::redirect_error(asio::use_awaitable, Result);
@@ -143,7 +142,14 @@
 }
 
 Task<std::optional<Response>> fetch(Address Peer, Request Message,
-                                    Duration Timeout, ClientFailure *Failure) {
+                                    Duration Timeout, ClientFailure *Failure,
+                                    std::size_t MaxBytes) {
+  // A peer that sends byte by byte must not stretch the call.
+  const TimePoint EndsAt = SteadyClock().now() + Timeout;
+  const auto Left = [EndsAt] {
+    return std::max(Duration(1), std::chrono::duration_cast<Duration>(
+                                     EndsAt - SteadyClock().now()));
+  };
   const auto Stream =
       makeClientStream(co_await asio::this_coro::executor,
                        {.ConnectTimeout = Timeout, .WriteTimeout = Timeout});
@@ -151,10 +157,10 @@
   const bool Started =
       co_await Stream->start(std::move(Peer), std::move(Message));
   if (Started)
-    Reply = co_await Stream->readHead(Timeout);
+    Reply = co_await Stream->readHead(Left());
   while (Reply) {
-    std::optional<std::string> Piece = co_await Stream->readSome(Timeout);
-    if (!Piece || Reply->Body.size() + Piece->size() > MaxReplyBytes)
+    std::optional<std::string> Piece = co_await Stream->readSome(Left());
+    if (!Piece || Reply->Body.size() + Piece->size() > MaxBytes)
       Reply.reset();
     else if (Piece->empty())
       break;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -58,9 +58,14 @@
 std::shared_ptr<ClientStream> makeClientStream(asio::any_io_executor Executor,
                                                ClientOptions Options = {});
 
-/// Sends one request and reads the whole reply, up to 64 MiB.
+/// Bytes of a reply that `fetch` reads if nothing else is said.
+inline constexpr std::size_t MaxReplyBytes = 64 * 1024 * 1024;
+
+/// Sends one request and reads the whole reply within `Timeout`, up to
+/// `MaxBytes`.
 Task<std::optional<Response>> fetch(Address Peer, Request Message,
                                     Duration Timeout,
-                                    ClientFailure *Failure = nullptr);
+                                    ClientFailure *Failure = nullptr,
+                                    std::size_t MaxBytes = MaxReplyBytes);
 
 } // namespace cassiashed::http
--- a/tests/process/gateway_test.py
+++ b/tests/process/gateway_test.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import unittest
 
@@ -237,6 +238,52 @@
         self.assertGreater(time.monotonic() - begin, 0.35)
         self.assertEqual(len(self.requests(self.app)), 1)
 
+    # Servers that send without end.
+
+    SOCKET_BYTES = 16 << 20  # that the kernel may hold between the two
+
+    def test_bytes_without_end_go_on_elsewhere(self):
+        for behaviour in ("endless_head", "endless_foreign"):
+            self.share_script(self.app, [behaviour, "ok"])
+            begin = time.monotonic()
+            self.assertEqual(self.call("/get/x")[::2], (200, WHOLE), behaviour)
+            self.assertLess(time.monotonic() - begin, 1.5, behaviour)
+            self.assertEqual(len(self.requests(self.app)), 2, behaviour)
+        self.assertLess(sum(each.sent_without_end for each in self.app), 2 * self.SOCKET_BYTES)
+
+    def test_an_event_without_end_is_resumed_elsewhere(self):
+        for behaviour, seconds in (("endless_event", 1.5), ("dripped_event", 4)):
+            self.share_script(self.llm, [behaviour, "events"])
+            begin = time.monotonic()
+            status, _, body = self.stream()
+            self.assertEqual((status, body), (200, EVENTS), behaviour)
+            self.assertLess(time.monotonic() - begin, seconds, behaviour)
+        self.assertLess(sum(each.sent_without_end for each in self.llm), self.SOCKET_BYTES)
+
+    def test_an_answer_without_end_is_cut_off(self):
+        self.share_script(self.app, ["endless_body"])
+        begin = time.monotonic()
+        self.assertEqual(self.call("/get/x", deadline_ms=20000)[0], 0)
+        self.assertLess(time.monotonic() - begin, 3.5)
+        self.assertLess(sum(each.sent_without_end for each in self.app), 3 * self.SOCKET_BYTES)
+
+    def test_many_senders_without_end_leave_the_others_alone(self):
+        for each in self.llm:
+            each.script = ["endless_event"]
+        threads = [threading.Thread(target=self.stream) for _ in range(300)]
+        for each in threads:
+            each.start()
+        slowest = 0
+        while any(each.is_alive() for each in threads):
+            begin = time.monotonic()
+            self.assertEqual(self.call("/get/x")[0], 200)
+            slowest = max(slowest, time.monotonic() - begin)
+        status = pathlib.Path(f"/proc/{self.gateway.process.pid}/status").read_text()
+        peak = next(line for line in status.splitlines() if line.startswith("VmHWM"))
+        print(f"300 streams without end: peak {int(peak.split()[1]) / 1024:.0f} MB, slowest other {slowest:.2f} s")
+        # 64 KiB of an event and as much in buffers a stream, besides the process itself.
+        self.assertLess(int(peak.split()[1]) * 1024, (300 * 128 << 10) + (48 << 20))
+
     # Streams.
 
     def test_stream_passes_whole(self):
--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -27,7 +27,10 @@
     """Behaviours of `script`: "ok", "events", "cut" (in the middle of an event),
     "reset" (after the request was read), "refuse" (not run), "truncate",
     "unsigned", "foreign" (an answer to another request first), "mute",
-    "error" (its own 500), "unframed" (ends with its connection)."""
+    "error" (its own 500), "unframed" (ends with its connection). Bytes without
+    end until the caller closes: "endless_head", "endless_event" (after two whole
+    events), "dripped_event" (the same, byte by byte), "endless_foreign" (an
+    answer to another request), "endless_body"."""
 
     def __init__(self, identity):
         self.identity, self.script, self.requests = identity, ["ok"], []
@@ -36,6 +39,7 @@
         # ("held", "used"), and whether reports are answered at all.
         self.orders, self.reservation_state, self.reports = [], "used", True
         self.event_pause = 0.02
+        self.sent_without_end = 0  # bytes, by the behaviours that never end
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
@@ -121,10 +125,34 @@
             if not connection.recv(1):
                 self.closed_by_caller.set()
             return False
+        elif behaviour.startswith(("endless", "dripped")):
+            self._send_without_end(connection, fields, behaviour)
+            return False
         elif behaviour in ("events", "cut"):
             return self._stream(connection, fields, behaviour == "cut")
         return True
 
+    def _send_without_end(self, connection, fields, behaviour):
+        kept = [f"Response-Signature: {self.identity}", "Transfer-Encoding: chunked"]
+        if behaviour == "endless_head":
+            connection.sendall(b"HTTP/1.1 200 OK\r\nX: ")
+            piece = b"x" * 4096
+        else:
+            other = "another" if behaviour == "endless_foreign" else None
+            connection.sendall(self._head("200 OK", fields, kept, other))
+            piece = b"1000\r\n" + b"x" * 4096 + b"\r\n"
+        if behaviour.endswith("_event"):
+            for number in (1, 2):
+                event = f"id: {number}\ndata: token {number}\n\n".encode()
+                connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        if behaviour == "dripped_event":
+            piece = b"1\r\nx\r\n"
+        while True:
+            connection.sendall(piece)
+            self.sent_without_end += len(piece)
+            if behaviour == "dripped_event":
+                time.sleep(0.05)
+
     def _stream(self, connection, fields, cut):
         """Six events; the ids go on after Last-Event-Id."""
         connection.sendall(self._head("200 OK", fields, [f"Response-Signature: {self.identity}",
