--- a/include/cassiashed/balancing/dispatcher.h
+++ b/include/cassiashed/balancing/dispatcher.h
@@ -6,6 +6,7 @@
 #include "cassiashed/catalog/endpoint_directory.h"
 #include "cassiashed/catalog/service_config.h"
 #include <functional>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -13,12 +14,20 @@
 
 namespace cassiashed::balancing {
 
+/// Who sends a request to the endpoint.
+enum class Sender { ThisNode, OtherNode };
+
 /// A request that needs an endpoint.
 struct DispatchRequest {
   const catalog::Service *Target = nullptr;
   PlacementRequest Work;            ///< prompt, goal and value; `Id` unique
   std::set<std::uint32_t> Excluded; ///< endpoints already tried, by number
   std::vector<std::string> Regions; ///< allowed regions; empty: all
+  /// Another node uses connections of its own.
+  Sender SentBy = Sender::ThisNode;
+  /// Nodes that share what cold endpoints bear; 0: none of it is left for this
+  /// request. Empty: all nodes.
+  std::optional<int> ColdSharers;
 };
 
 enum class DispatchFailure {
@@ -71,6 +80,8 @@
                   std::mt19937_64 &Random);
 
 private:
+  bool mayUseCold(const DispatchRequest &Request,
+                  const catalog::KnownEndpoint &Which, TimePoint Now) const;
   std::vector<catalog::EndpointRef> candidates(const DispatchRequest &Request,
                                                TimePoint Now,
                                                DispatchFailure &Failure) const;
--- a/include/cassiashed/balancing/fleet_load.h
+++ b/include/cassiashed/balancing/fleet_load.h
@@ -40,6 +40,8 @@
   int outstanding(const std::string &EndpointId) const;
 
   void assign(const Assignment &Work, TimePoint Now);
+  /// The endpoint that writes the answer of a request; null if it is unknown.
+  const std::string *writerOf(std::uint64_t Id) const;
   /// The request produced its first token.
   void markStarted(std::uint64_t Id, TimePoint Now);
   void finish(std::uint64_t Id, TimePoint Now);
--- /dev/null
+++ b/include/cassiashed/balancing/recheck_pace.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "cassiashed/base/clock.h"
+
+namespace cassiashed::balancing {
+
+struct RecheckPaceOptions {
+  /// Looks per second for all waiting requests together: a look at a long
+  /// prompt forecasts every engine.
+  double PerSecond = 40;
+  Duration Shortest{70};  ///< between two looks of one request
+  Duration Longest{1000}; ///< so that a freed engine does not stay idle
+};
+
+/// Spaces the looks that waiting requests take at the engines, so that a queue
+/// of late requests does not use up the time of the node that places them.
+/// Load: seconds with several times the long prompts that engines can read.
+class RecheckPace {
+public:
+  explicit RecheckPace(RecheckPaceOptions Options = {}) : Options_(Options) {}
+
+  /// When a request that waits now should look again, from now.
+  Duration next(TimePoint Now);
+
+private:
+  RecheckPaceOptions Options_;
+  TimePoint NextFree_;
+};
+
+} // namespace cassiashed::balancing
--- a/src/balancing/dispatcher.cpp
+++ b/src/balancing/dispatcher.cpp
@@ -35,6 +35,15 @@
     : Directory_(Directory), Load_(Load), Health_(Health), Cold_(Cold),
       Options_(std::move(Options)) {}
 
+bool Dispatcher::mayUseCold(const DispatchRequest &Request,
+                            const catalog::KnownEndpoint &Which,
+                            TimePoint Now) const {
+  const int Sharers = Request.ColdSharers.value_or(NodeCount_);
+  return Sharers > 0 &&
+         Cold_.maySend(Which.Number, Request.Target->ColdRequestsPerSecond,
+                       Sharers, Now);
+}
+
 std::vector<EndpointRef>
 Dispatcher::candidates(const DispatchRequest &Request, TimePoint Now,
                        DispatchFailure &Failure) const {
@@ -51,13 +60,11 @@
                     Region->second) == Request.Regions.end())
         continue;
     }
-    if (Each->ColdUntil > Now &&
-        !Cold_.maySend(Each->Number, Request.Target->ColdRequestsPerSecond,
-                       NodeCount_, Now)) {
+    if (Each->ColdUntil > Now && !mayUseCold(Request, *Each, Now)) {
       Failure = DispatchFailure::AllCold;
       continue;
     }
-    if (Room_ && Room_(*Each) <= 0) {
+    if (Request.SentBy == Sender::ThisNode && Room_ && Room_(*Each) <= 0) {
       Failure = DispatchFailure::AllBusy;
       continue;
     }
--- a/src/balancing/fleet_load.cpp
+++ b/src/balancing/fleet_load.cpp
@@ -34,6 +34,13 @@
   Active_[Work.Request.Id] = {Work, ExpiresAt};
 }
 
+const std::string *FleetLoad::writerOf(std::uint64_t Id) const {
+  const auto Found = Active_.find(Id);
+  if (Found == Active_.end() || Found->second.Work.Parts.empty())
+    return nullptr;
+  return &Found->second.Work.Parts.front().EndpointId;
+}
+
 void FleetLoad::markStarted(std::uint64_t Id, TimePoint Now) {
   const auto Found = Active_.find(Id);
   if (Found == Active_.end())
--- a/src/gateway/catalog_updater.cpp
+++ b/src/gateway/catalog_updater.cpp
@@ -17,8 +17,8 @@
 
 } // namespace
 
-std::string encodeNodeRow(const std::string &Host) {
-  return Json({{"host", Host}}).dump();
+std::string encodeNodeRow(const std::string &Host, double CpuShare) {
+  return Json({{"host", Host}, {"cpu_share", CpuShare}}).dump();
 }
 
 void CatalogUpdater::apply(Table Which, const std::vector<Row> &Rows,
@@ -148,7 +148,7 @@
         .field("reason", Reason.empty() ? "no host" : Reason);
     return;
   }
-  State_.Nodes->addNode(Entry.Key, Host);
+  State_.Nodes->addNode(Entry.Key, Host, readNumber(*Value, "cpu_share"));
 }
 
 void CatalogUpdater::prepareTimelines() {
--- a/src/gateway/catalog_updater.h
+++ b/src/gateway/catalog_updater.h
@@ -34,6 +34,6 @@
 };
 
 /// Value of a node's own row.
-std::string encodeNodeRow(const std::string &Host);
+std::string encodeNodeRow(const std::string &Host, double CpuShare);
 
 } // namespace cassiashed::gateway
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -190,24 +190,48 @@
   });
 }
 
-balancing::Admission Exchange::decideAdmission(const Dispatch &Chosen,
-                                               TimePoint Now) const {
-  const balancing::PlacementRequest &Work = Wanted_.Work;
-  if (!Service_->Engine || Sends_ > 0)
-    return balancing::Admission::Send;
-  const double WaitedMs =
+PlacementDecision Exchange::decideAlone(TimePoint Now,
+                                        const PlacementContext &Context) {
+  PlacementDecision Decision;
+  // The placers use what cold engines bear.
+  Wanted_.ColdSharers.reset();
+  if (State_.Placement->isUsedFor(*Service_))
+    Wanted_.ColdSharers = 0;
+  Decision.Chosen = State_.Dispatcher.choose(Wanted_, Now, State_.Random);
+  if (Service_->Engine && !Context.IsRepeat &&
+      !Decision.Chosen.Endpoints.empty())
+    Decision.Next = balancing::decideAdmission(
+        Decision.Chosen, Wanted_.Work, Context.WaitedMs, Context.TotalMs);
+  std::uniform_int_distribution<int> Spread(WaitStepMinMs, WaitStepMaxMs);
+  Decision.LookAgain = Duration(Spread(State_.Random));
+  return Decision;
+}
+
+http::Task<PlacementDecision> Exchange::decide(TimePoint Now) {
+  PlacementContext Context;
+  Context.WaitedMs =
       std::chrono::duration<double, std::milli>(Now - Request_.ReceivedAt)
           .count();
-  const double TotalMs =
+  Context.TotalMs =
       std::chrono::duration<double, std::milli>(EndsAt_ - Request_.ReceivedAt)
           .count();
-  return balancing::decideAdmission(Chosen, Work, WaitedMs, TotalMs);
+  Context.IsRepeat = Sends_ > 0;
+  if (State_.Placement->isUsedFor(*Service_)) {
+    Context.ExcludedIds = ExcludedIds_;
+    std::optional<PlacementDecision> Shared =
+        co_await State_.Placement->ask(Wanted_, Context);
+    if (Shared)
+      co_return std::move(*Shared);
+  }
+  co_return decideAlone(State_.now(), Context);
 }
 
 http::Task<Dispatch> Exchange::dispatch() {
   const TimePoint GiveUpAt =
       State_.now() + std::chrono::duration_cast<TimePoint::duration>(
                          Route_->FirstByteTarget * WaitPart);
+  // The end of the last attempt may be heard after the question for the next.
+  Wanted_.Work.Id = State_.NextWorkId++;
   Dispatch Chosen;
   while (true) {
     const TimePoint Now = State_.now();
@@ -217,30 +241,32 @@
         std::chrono::duration<double, std::milli>(Request_.ReceivedAt +
                                                   Route_->FirstByteTarget - Now)
             .count();
-    Chosen = State_.Dispatcher.choose(Wanted_, Now, State_.Random);
+    PlacementDecision Decision = co_await decide(Now);
+    Chosen = std::move(Decision.Chosen);
+    IsCounted_ = Decision.IsCounted;
+    Placer_ = Decision.Placer;
     Wanted_.Work.Urgent = Chosen.Urgent;
-    const bool CanWait =
-        Chosen.Failure == balancing::DispatchFailure::AllCold &&
-        Now + WaitStep < GiveUpAt;
-    if (Ending_ != Ending::None)
+    if (Ending_ != Ending::None) {
+      finishWork();
       break;
+    }
     Duration Step = WaitStep;
-    if (!Chosen.Endpoints.empty()) {
-      const balancing::Admission Next = decideAdmission(Chosen, Now);
-      if (Next == balancing::Admission::Send)
-        break;
-      if (Next == balancing::Admission::Refuse) {
-        Chosen = Dispatch{};
-        Chosen.Failure = balancing::DispatchFailure::AllBusy;
-        Chosen.RetryAfter =
-            std::chrono::duration_cast<Duration>(left() * ReturnPart);
-        break;
-      }
-      std::uniform_int_distribution<int> Spread(WaitStepMinMs, WaitStepMaxMs);
-      Step = Duration(Spread(State_.Random));
-    } else if (!CanWait) {
+    if (Decision.Next == balancing::Admission::Refuse) {
+      Chosen = Dispatch{};
+      Chosen.Failure = balancing::DispatchFailure::AllBusy;
+      Chosen.RetryAfter =
+          std::chrono::duration_cast<Duration>(left() * ReturnPart);
       break;
     }
+    if (Decision.Next == balancing::Admission::Wait) {
+      Step = Decision.LookAgain;
+    } else {
+      const bool CanWait =
+          Chosen.Failure == balancing::DispatchFailure::AllCold &&
+          Now + WaitStep < GiveUpAt;
+      if (!Chosen.Endpoints.empty() || !CanWait)
+        break;
+    }
     co_await http::sleepFor(Step);
   }
   co_return Chosen;
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint32_t EndpointHeadBytes = 64 * 1024;
 /// Answers to earlier requests that are skipped on one connection.
 constexpr int MaxForeignAnswers = 3;
+/// Bytes of them that are read; more cost more than a new attempt.
+constexpr std::size_t MaxForeignBytes = 256 * 1024;
 /// A stream without a first event for longer than its predicted time by this
 /// factor and slack goes to another endpoint.
 constexpr double FirstEventFactor = 3;
@@ -78,9 +80,7 @@
     State_.Pool.makeRoom(Peer->Number, State_.connectionShare(*Peer));
     Link = co_await State_.Pool.connect(Peer->Entry, Peer->Number, Limit);
     if (!Link) {
-      State_.Health.note(Peer->Number, EndpointOutcome::Unreachable,
-                         State_.now());
-      State_.Nodes->announceSilence(Peer->Entry.Id);
+      State_.noteOutcome(*Peer, EndpointOutcome::Unreachable);
       State_.confirmCrashes(*Peer);
     }
   }
@@ -118,14 +118,15 @@
     Work.Parts.push_back(
         {Chosen.Endpoints[Index]->Entry.Id, Chosen.Parts[Index]});
   State_.Load.assign(Work, Now);
-  State_.Nodes->announceStart(Work);
+  if (!IsCounted_ && isWorkShared())
+    State_.Nodes->announceStart(Work, "");
   WorkActive_ = true;
   if (Sends_ == 0)
     State_.Retries.noteFirst(Service_->Name, Now);
   ++Sends_;
   const EndpointRef &Peer = Chosen.Endpoints.front();
-  Wanted_.Excluded.insert(Peer->Number);
-  if (Peer->ColdUntil > Now)
+  exclude(*Peer);
+  if (Peer->ColdUntil > Now && !IsCounted_)
     State_.Cold.noteSent(Peer->Number, Now);
   SentAt_ = Now;
   State_.Health.noteSent(
@@ -143,17 +144,30 @@
         .field("loss_others", Chosen.LossToOthers)
         .field("loss_later", Chosen.LossToLater)
         .field("urgent", Chosen.Urgent)
+        .field("work", Wanted_.Work.Id)
+        .field("placer", Placer_)
         .field("left_ms", left().count())
         .field("config", Config_->Version);
   });
 }
 
+bool Exchange::isWorkShared() const {
+  return Service_->Engine || !State_.Nodes->hasRoles();
+}
+
+void Exchange::exclude(const catalog::KnownEndpoint &Which) {
+  Wanted_.Excluded.insert(Which.Number);
+  ExcludedIds_.push_back(Which.Entry.Id);
+}
+
 void Exchange::finishWork() {
-  if (!WorkActive_)
+  if (!WorkActive_ && !IsCounted_)
     return;
   WorkActive_ = false;
+  IsCounted_ = false;
   State_.Load.finish(Wanted_.Work.Id, State_.now());
-  State_.Nodes->announceFinish(Wanted_.Work.Id);
+  if (isWorkShared())
+    State_.Nodes->announceFinish(Wanted_.Work.Id);
 }
 
 void Exchange::noteFirstByte(const Dispatch &Chosen) {
@@ -196,31 +210,32 @@
   const TimePoint Now = State_.now();
   if (Ending_ != Ending::None)
     return; // this node closed the connection
-  State_.Health.note(
-      Peer->Number, Silent_ ? EndpointOutcome::Silent : EndpointOutcome::Broken,
-      Now);
-  if (Silent_)
-    State_.Nodes->announceSilence(Peer->Entry.Id);
-  else
+  State_.noteOutcome(*Peer, Silent_ ? EndpointOutcome::Silent
+                                    : EndpointOutcome::Broken);
+  if (!Silent_)
     State_.BrokenRuns.push_back({Content_, Peer, Now});
 }
 
 http::Task<AttemptEnd> Exchange::attempt(const Dispatch &Chosen) {
   const EndpointRef Peer = Chosen.Endpoints.front();
   const bool Reserved = co_await reserve(Chosen);
-  if (!Reserved)
+  if (!Reserved) {
+    finishWork();
     co_return AttemptEnd::NotSent;
+  }
   LinkRef Link;
   if (Ending_ == Ending::None)
     Link = co_await openLink(Peer);
   KeyLapsed_ = Ending_ == Ending::None && !keyStillHolds();
   if (KeyLapsed_) {
+    finishWork();
     releaseReservations();
     co_return AttemptEnd::NotSent;
   }
   // The endpoint may have left while the connection was made.
   if (!Link || Ending_ != Ending::None || !State_.Directory.isUsable(*Peer)) {
-    Wanted_.Excluded.insert(Peer->Number);
+    exclude(*Peer);
+    finishWork();
     releaseReservations();
     co_return AttemptEnd::NotSent;
   }
@@ -272,6 +287,7 @@
   std::optional<ResponseParser> Parser;
   EndpointHead Answer;
   bool Matches = false;
+  std::size_t ForeignBytes = 0;
   for (int Skipped = 0; !Matches && Skipped <= MaxForeignAnswers; ++Skipped) {
     Parser.emplace();
     Parser->header_limit(EndpointHeadBytes);
@@ -299,7 +315,10 @@
     while (!Matches && !Parser->is_done()) {
       std::string Ignored;
       const bool Read = co_await readPiece(*Link, *Parser, Ignored);
-      if (!Read) {
+      ForeignBytes += Ignored.size();
+      if (ForeignBytes > MaxForeignBytes)
+        Cause_ = "an answer to another request without end";
+      if (!Read || ForeignBytes > MaxForeignBytes) {
         noteBroken(Peer);
         MayHaveRun_ = true;
         co_return AttemptEnd::Failed;
@@ -315,10 +334,9 @@
   if (Answer.ColdFor && Answer.ColdFor->count() > 0)
     State_.Directory.markCold(Peer, *Answer.ColdFor, State_.now());
   if (Answer.NotRun || Answer.WrongEndpoint) {
-    State_.Health.note(Peer->Number,
-                       Answer.WrongEndpoint ? EndpointOutcome::Unreachable
-                                            : EndpointOutcome::Refused,
-                       State_.now());
+    State_.noteOutcome(*Peer, Answer.WrongEndpoint
+                                  ? EndpointOutcome::Unreachable
+                                  : EndpointOutcome::Refused);
     State_.Log.write("endpoint_refused", State_.now(), [&](LogLine &Line) {
       Line.field("id", Head_.AttemptId)
           .field("endpoint", Peer->Entry.Id)
@@ -331,7 +349,7 @@
   const bool Success = Status >= 200 && Status < 300;
   if (Success && !Answer.Signed) {
     Cause_ = "success without a signature";
-    State_.Health.note(Peer->Number, EndpointOutcome::Broken, State_.now());
+    State_.noteOutcome(*Peer, EndpointOutcome::Broken);
     co_return AttemptEnd::Failed;
   }
   AttemptEnd End;
@@ -347,10 +365,8 @@
     noteFirstByte(Chosen);
   }
   if (End == AttemptEnd::Answered || End == AttemptEnd::FailedAnswer) {
-    State_.Health.note(Peer->Number,
-                       Status >= 500 ? EndpointOutcome::FailedAnswer
-                                     : EndpointOutcome::Answered,
-                       State_.now());
+    State_.noteOutcome(*Peer, Status >= 500 ? EndpointOutcome::FailedAnswer
+                                            : EndpointOutcome::Answered);
     State_.Crashes.noteCompleted(Content_);
     if (Sending->Done && !Sending->Failure && Parser->is_done() &&
         Parser->keep_alive() && Ending_ == Ending::None) {
--- a/src/gateway/exchange_parts.h
+++ b/src/gateway/exchange_parts.h
@@ -4,6 +4,7 @@
 #include "gateway/event_assembler.h"
 #include "gateway/exchange.h"
 #include "gateway/reservations.h"
+#include "gateway/shared_placement.h"
 
 namespace cassiashed::gateway {
 
@@ -76,9 +77,10 @@
 
   // Attempts.
   http::Task<Dispatch> dispatch();
-  /// Whether the request is sent now, waits or is refused for others' sake.
-  balancing::Admission decideAdmission(const Dispatch &Chosen,
-                                       TimePoint Now) const;
+  /// Where the request runs and whether it is sent now, waits or is refused
+  /// for others' sake: from the placers where there are some.
+  http::Task<PlacementDecision> decide(TimePoint Now);
+  PlacementDecision decideAlone(TimePoint Now, const PlacementContext &Context);
   http::Task<bool> reserve(const Dispatch &Chosen);
   /// Gives reserved memory back. Every attempt ends with it, sent or not:
   /// reservations are renewed until they are released.
@@ -94,6 +96,11 @@
                              std::string &Piece);
   http::Task<bool> writeToCaller(std::string Bytes);
   std::string formatForward(const Dispatch &Chosen);
+  /// Whether other nodes hear of the work: in a large fleet only work of model
+  /// services is placed together.
+  bool isWorkShared() const;
+  /// The endpoint gets no further attempt of this request.
+  void exclude(const catalog::KnownEndpoint &Which);
   void beginWork(const Dispatch &Chosen);
   void finishWork();
   void noteFirstByte(const Dispatch &Chosen);
@@ -136,6 +143,9 @@
   bool AnswerBegun_ = false;
   bool AnswerComplete_ = false;
   bool WorkActive_ = false;
+  bool IsCounted_ = false; ///< a placer counts the work as sent
+  std::string Placer_;     ///< address of the node that chose; empty: this one
+  std::vector<std::string> ExcludedIds_;
   bool KeyLapsed_ = false; ///< taken away, or not known to hold, before a send
   bool FirstByteSeen_ = false;
   TimePoint SentAt_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "gateway/catalog_updater.h"
 #include "gateway/row_follower.h"
 #include "gateway/row_messages.h"
+#include "gateway/shared_placement.h"
 #include "http/server.h"
 #include <boost/asio/signal_set.hpp>
 #include <charconv>
@@ -89,6 +90,7 @@
     NodeNetworkOptions Options;
     Options.Name = State_.Settings.Gateway.Name;
     Options.Incarnation = State_.Random();
+    Options.CpuShare = State_.Settings.Limits.CpuShare;
     Options.Internal = {State_.Settings.Gateway.Internal.Host,
                         State_.Settings.Gateway.Internal.Port};
     for (const HostPort &Seed : State_.Settings.Cluster.Seeds)
@@ -97,9 +99,7 @@
     Events.WorkStarted = [this](const balancing::Assignment &Work) {
       State_.Load.assign(Work, State_.now());
     };
-    Events.FirstToken = [this](std::uint64_t Id) {
-      State_.Load.markStarted(Id, State_.now());
-    };
+    Events.FirstToken = [this](std::uint64_t Id) { noteFirstToken(Id); };
     Events.WorkFinished = [this](std::uint64_t Id) {
       State_.Load.finish(Id, State_.now());
     };
@@ -113,6 +113,14 @@
                            balancing::EndpointOutcome::ReportedSilent,
                            State_.now());
     };
+    Events.Outcome = [this](const OutcomeNote &Note) { takeOutcome(Note); };
+    Events.Question = [this](const PlacementQuestion &Question,
+                             const std::string &Host, std::uint32_t Origin) {
+      State_.Placement->takeQuestion(Question, Host, Origin);
+    };
+    Events.Answer = [this](PlacementAnswer Answer) {
+      State_.Placement->takeAnswer(std::move(Answer));
+    };
     Events.NodeLost = [this](std::uint32_t Origin) {
       State_.Load.finishAllOf(Origin, State_.now());
     };
@@ -133,6 +141,28 @@
     return State_.Nodes != nullptr;
   }
 
+  /// Another node's request began to produce.
+  void noteFirstToken(std::uint64_t Id) {
+    const TimePoint Now = State_.now();
+    State_.Load.markStarted(Id, Now);
+    const std::string *Writer = State_.Load.writerOf(Id);
+    const catalog::EndpointRef Known =
+        Writer ? State_.Directory.find(*Writer) : nullptr;
+    if (Known)
+      State_.Health.noteHeard(Known->Number, false, Now);
+  }
+
+  void takeOutcome(const OutcomeNote &Note) {
+    using balancing::EndpointOutcome;
+    const catalog::EndpointRef Known = State_.Directory.find(Note.EndpointId);
+    if (!Known || Note.Outcome > static_cast<std::uint32_t>(
+                                     EndpointOutcome::ReportedSilent))
+      return;
+    State_.Health.note(Known->Number,
+                       static_cast<EndpointOutcome>(Note.Outcome),
+                       State_.now());
+  }
+
   using Answer = http::Response (Gateway::*)(const http::Request &);
 
   std::unique_ptr<http::Server> serve(const HostPort &Address, Answer Handle,
@@ -247,7 +277,8 @@
       StoreRows Result;
       if (!Written)
         Result = co_await Adapter_.Store->writeNode(
-            Self.Name, encodeNodeRow(Self.Internal.Host));
+            Self.Name,
+            encodeNodeRow(Self.Internal.Host, State_.Settings.Limits.CpuShare));
       else
         Result = co_await Adapter_.Store->readAll(catalog::Table::Nodes);
       if (Result.Status != StoreStatus::Ok) {
@@ -347,7 +378,7 @@
     State_.Settings.Limits = Loaded->Limits;
     State_.applyBounds();
     for (const HostPort &Seed : Loaded->Cluster.Seeds)
-      State_.Nodes->addNode("", Seed.Host);
+      State_.Nodes->addNode("", Seed.Host, 0);
     logEvent("settings_reloaded").field("cause", Cause);
   }
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway_state.h"
 
+#include "gateway/shared_placement.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -39,7 +41,22 @@
       Random(std::random_device{}()), Cold(coldOptions(Settings.Bounds)),
       Retries(retryOptions(Settings.Bounds)),
       Dispatcher(Directory, Load, Health, Cold, dispatcherOptions(Settings)),
-      Pool(Context), Metrics(makeGatewayMetrics()), NextWorkId(Random()) {}
+      Pool(Context), Placement(std::make_unique<SharedPlacement>(*this)),
+      Metrics(makeGatewayMetrics()), NextWorkId(Random()) {}
+
+GatewayState::~GatewayState() = default;
+
+void GatewayState::noteOutcome(const catalog::KnownEndpoint &Which,
+                               balancing::EndpointOutcome Outcome) {
+  using balancing::EndpointOutcome;
+  Health.note(Which.Number, Outcome, now());
+  // Silence may be due to this node's own links, so it counts as a report.
+  if (Outcome == EndpointOutcome::Silent ||
+      Outcome == EndpointOutcome::Unreachable)
+    Nodes->announceSilence(Which.Entry.Id);
+  else
+    Nodes->announceOutcome(Which.Entry.Id, Outcome);
+}
 
 int GatewayState::sharingNodes() const {
   const int Possible = Nodes ? Nodes->possibleNodes() : 1;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -16,6 +16,8 @@
 
 namespace cassiashed::gateway {
 
+class SharedPlacement;
+
 /// A content that was running on an endpoint when its connection broke. It
 /// counts as a crash if the endpoint turns out to have ended.
 struct BrokenRun {
@@ -30,6 +32,7 @@
 struct GatewayState {
   GatewayState(asio::io_context &Context, const GatewaySettings &Settings,
                const Dialect &Protocol);
+  ~GatewayState();
 
   asio::io_context &Context;
   GatewaySettings Settings;
@@ -49,6 +52,7 @@
   balancing::Dispatcher Dispatcher;
   EndpointPool Pool;
   std::unique_ptr<NodeNetwork> Nodes;
+  std::unique_ptr<SharedPlacement> Placement;
   std::unique_ptr<GatewayMetrics> Metrics;
   DecisionLog Log;
   std::vector<BrokenRun> BrokenRuns;
@@ -63,6 +67,9 @@
   /// Connections that this node may hold to an endpoint: its share of what the
   /// endpoint accepts from all nodes, at least one.
   int connectionShare(const catalog::KnownEndpoint &Which) const;
+  /// Takes in how an attempt at an endpoint ended, and tells the placers.
+  void noteOutcome(const catalog::KnownEndpoint &Which,
+                   balancing::EndpointOutcome Outcome);
   /// Whether this node knows which keys are valid: always, unless the
   /// deployment wants keys refused where that cannot be known.
   bool knowsKeys() const;
--- a/src/gateway/node_messages.h
+++ b/src/gateway/node_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cassiashed/balancing/fleet_load.h"
+#include "gateway/placement_messages.h"
 #include <cstdint>
 #include <msgpack.hpp>
 #include <optional>
@@ -33,8 +34,10 @@
   double Value = 0;
   bool Urgent = true;
   std::vector<WorkPart> Parts;
+  /// IP address of the node that sends the request; empty: of this message.
+  std::string Requester;
   MSGPACK_DEFINE(Id, PromptTokens, OutputTokens, FirstTokenMs, DeadlineMs,
-                 PauseMs, Value, Urgent, Parts)
+                 PauseMs, Value, Urgent, Parts, Requester)
 };
 
 /// A row of the endpoints' table as the sender read it from the store.
@@ -46,6 +49,13 @@
   MSGPACK_DEFINE(Key, Value, Version, Removed)
 };
 
+/// How an attempt ended, for the doubts that placers have about endpoints.
+struct OutcomeNote {
+  std::string EndpointId;
+  std::uint32_t Outcome = 0; ///< balancing::EndpointOutcome
+  MSGPACK_DEFINE(EndpointId, Outcome)
+};
+
 struct CrashNote {
   std::uint64_t Content = 0;
   std::string EndpointId;
@@ -77,10 +87,16 @@
   std::uint64_t FreshnessAnswerTo = 0;
   /// Age of the sender's copy when it answered.
   std::int64_t OperatorAgeMs = 0;
+  double CpuShare = 0;    ///< cores that the sender may use
+  bool KnowsWork = false; ///< it has run long enough to place requests
+  std::vector<PlacementQuestion> Questions;
+  std::vector<PlacementAnswer> Answers;
+  std::vector<OutcomeNote> Outcomes;
   MSGPACK_DEFINE(Format, Node, Incarnation, OperatorRow, EndpointRow, Following,
                  EndpointRows, Started, FirstTokens, Finished, Crashes,
                  SilentEndpoints, KnownNodes, FreshnessAskedAt,
-                 FreshnessAnswerTo, OperatorAgeMs)
+                 FreshnessAnswerTo, OperatorAgeMs, CpuShare, KnowsWork,
+                 Questions, Answers, Outcomes)
 };
 
 WorkStarted describeWork(const balancing::Assignment &Work);
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -2,67 +2,67 @@
 
 #include "cassiashed/base/event_log.h"
 #include "cassiashed/base/hash.h"
+#include "gateway/peer_table.h"
 #include "http/asio.h"
 #include <algorithm>
 #include <array>
-#include <boost/asio/ip/udp.hpp>
 #include <deque>
-#include <map>
 #include <random>
+#include <set>
 
 namespace cassiashed::gateway {
 namespace {
 
 namespace asio = boost::asio;
-using Udp = asio::ip::udp;
 using Code = boost::system::error_code;
 
 constexpr Duration HeartbeatPeriod{1000};
 /// Above this number of nodes heartbeats are spread further apart, so that a
 /// node spends the same on them at any size.
 constexpr int NodesPerHeartbeat = 40;
+/// Heartbeats to all nodes after the start, so that those that have read the
+/// nodes' table before hear of this one.
+constexpr int IntroductionBeats = 3;
 /// Ends and first tokens are collected this long; a prediction that is this
 /// old is still good.
 constexpr Duration CollectPeriod{20};
-/// A node that was not heard for this long gets heartbeats only.
-constexpr Duration SilentAfter{5000};
 /// Row versions of a peer are taken over after this time, in which the store
 /// itself usually delivers them.
 constexpr Duration CatchUpDelay{150};
+/// Nodes of a large fleet spread their reads of new rows over this time, since
+/// a few followers serve all of them.
+constexpr int CatchUpSpreadMs = 300;
 /// Below the size that fits one Ethernet frame, so that no datagram is split.
 constexpr std::size_t MaxItemsPerMessage = 30;
 constexpr std::size_t MaxKnownNodes = 32;
 constexpr std::size_t MaxRowBytesPerMessage = 6000;
-/// Nodes that follow the endpoints' table: enough that some are left when a
-/// zone and a third of the other nodes lose the store at once.
+/// Nodes that follow tables for all: enough that some are left when a zone and
+/// a third of the other nodes lose the store at once.
 constexpr int FollowerCount = 4;
-/// A follower says so this often; one that is not heard for the longer time
-/// is replaced, well within the bounds on leaving endpoints.
-constexpr Duration FollowerHeartbeat{400};
-constexpr Duration FollowerSilence{1100};
+/// Nodes asked in turn for one placement, and told of all work.
+constexpr std::size_t PlacerCount = 3;
+/// Best-ranked nodes that may act as placers in turn.
+constexpr std::size_t PlacerReserve = 6;
+/// A node with a role says so this often.
+constexpr Duration RoleHeartbeat{400};
+/// Work lasts some seconds; a process that has run this long has heard of
+/// nearly all that is under way.
+constexpr Duration KnowsWorkAfter{4000};
+/// A placer that did not answer in time is asked last for this long.
+constexpr Duration PlacerPause{1000};
 /// Nodes that are asked at once how current their rows are: one may have died.
 constexpr std::size_t AskedNodes = 2;
-/// Questions whose answers are still taken.
-constexpr std::size_t OpenQuestions = 8;
-
-struct Peer {
-  std::string Name; ///< empty for a seed that was not heard yet
-  Udp::endpoint Where;
-  std::uint64_t Incarnation = 0;
-  std::uint32_t Origin = 0;
-  bool WasHeard = false;
-  bool Lost = false;
-  bool Following = false;
-  std::uint64_t Rank = 0; ///< nodes with a lower one follow first
-  TimePoint LastHeard;
-};
+/// Freshness questions whose answers are still taken.
+constexpr std::size_t OpenFreshnessQuestions = 8;
 
 class Network final : public NodeNetwork {
 public:
   Network(asio::io_context &Context, NodeNetworkOptions Options,
           NodeNetworkEvents Events)
       : Options_(std::move(Options)), Events_(std::move(Events)),
-        Rank_(hashBytes(Options_.Name)), Socket_(Context), Heartbeat_(Context),
+        Peers_(Options_.Internal.Host,
+               {Options_.CpuShare, hashBytes(Options_.Name)}),
+        StartedAt_(now()), Socket_(Context), Heartbeat_(Context),
         Collect_(Context) {}
 
   bool open(std::string &Reason) {
@@ -82,133 +82,158 @@
       return false;
     }
     for (const std::string &Host : Options_.SeedHosts)
-      if (Host != Options_.Internal.Host)
-        (void)peerAt(Host);
+      (void)peerAt(Host);
     receive();
     beat();
     return true;
   }
 
-  void addNode(const std::string &Name, const std::string &Host) override {
-    if (Host == Options_.Internal.Host)
-      return;
+  void addNode(const std::string &Name, const std::string &Host,
+               double CpuShare) override {
     Peer *Entry = peerAt(Host);
-    if (Entry)
-      Entry->Name = Name;
-  }
-
-  void removeNode(const std::string &Name) override {
-    for (auto Entry = Peers_.begin(); Entry != Peers_.end();)
-      Entry =
-          Entry->second.Name == Name ? Peers_.erase(Entry) : std::next(Entry);
+    if (!Entry)
+      return;
+    Entry->Name = Name;
+    if (!Name.empty())
+      Entry->Rank = {CpuShare, hashBytes(Name)};
   }
+  void removeNode(const std::string &Name) override { Peers_.remove(Name); }
 
   void setRowVersions(std::uint64_t OperatorRow,
                       std::uint64_t EndpointRow) override {
+    const bool IsNews = OperatorRow > OperatorRow_;
     OperatorRow_ = OperatorRow;
     EndpointRow_ = EndpointRow;
+    // Followers pass endpoint rows on themselves; operator rows are read from
+    // them.
+    if (IsNews && Following_ && hasRoles())
+      beat();
   }
+  bool hasRoles() const override { return Peers_.hasRoles(); }
   bool shouldFollow() const override {
-    return betterFollowers() < FollowerCount;
+    return Peers_.betterFollowers(now()) < FollowerCount;
+  }
+  bool isFirstFollower() const override {
+    return Peers_.betterFollowers(now()) == 0;
+  }
+  void setFollowing(bool Following) override {
+    if (Following == Following_)
+      return;
+    Following_ = Following;
+    beat();
   }
-  bool isFirstFollower() const override { return betterFollowers() == 0; }
   void askOperatorAge() override {
     NodeMessage Message = makeMessage();
     Message.FreshnessAskedAt =
         static_cast<std::uint64_t>(BootClock::now().time_since_epoch().count());
-    Questions_.push_back(Message.FreshnessAskedAt);
-    if (Questions_.size() > OpenQuestions)
-      Questions_.pop_front();
+    FreshnessQuestions_.push_back(Message.FreshnessAskedAt);
+    if (FreshnessQuestions_.size() > OpenFreshnessQuestions)
+      FreshnessQuestions_.pop_front();
     const std::string Bytes = packMessage(Message);
     for (const Peer *Each : nodesToAsk())
       send(Bytes, Each->Where);
   }
-  void setFollowing(bool Following) override {
-    if (Following == Following_)
-      return;
-    Following_ = Following;
-    beat();
+
+  std::vector<std::string> placers() const override {
+    return Peers_.placers(PlacerCount, knowsWork(), now());
+  }
+  int coldPlacerCount() const override {
+    return static_cast<int>(PlacerReserve);
+  }
+  bool mayPlaceOnCold() const override {
+    return Peers_.isAmongBest(PlacerReserve);
+  }
+  const std::string &ownHost() const override { return Options_.Internal.Host; }
+  void ask(const std::string &Host,
+           const PlacementQuestion &Question) override {
+    NodeMessage Message = makeMessage();
+    Message.Questions.push_back(Question);
+    sendTo(Host, Message);
+  }
+  void answer(const std::string &Host, const PlacementAnswer &Answer) override {
+    NodeMessage Message = makeMessage();
+    Message.Answers.push_back(Answer);
+    sendTo(Host, Message);
+  }
+  void notePlacerSilent(const std::string &Host) override {
+    if (Peer *Entry = Peers_.find(Host))
+      Entry->SuspectUntil = now() + PlacerPause;
   }
 
-  void announceStart(const balancing::Assignment &Work) override {
-    Pending_.Started.push_back(describeWork(Work));
+  void announceStart(const balancing::Assignment &Work,
+                     const std::string &Requester) override {
+    WorkStarted Note = describeWork(Work);
+    Note.Requester = Requester;
+    Work_.Started.push_back(std::move(Note));
     flush();
   }
   void announceFirstToken(std::uint64_t Id) override {
-    Pending_.FirstTokens.push_back(Id);
+    Work_.FirstTokens.push_back(Id);
     collect();
   }
   void announceFinish(std::uint64_t Id) override {
-    Pending_.Finished.push_back(Id);
+    Work_.Finished.push_back(Id);
     collect();
   }
-  void announceCrash(const CrashNote &Note) override {
-    Pending_.Crashes.push_back(Note);
-    flush();
-  }
-
   void announceSilence(const std::string &EndpointId) override {
-    Pending_.SilentEndpoints.push_back(EndpointId);
+    Work_.SilentEndpoints.push_back(EndpointId);
     flush();
   }
+  void announceOutcome(const std::string &EndpointId,
+                       balancing::EndpointOutcome Outcome) override {
+    if (!hasRoles())
+      return;
+    Work_.Outcomes.push_back({EndpointId, static_cast<std::uint32_t>(Outcome)});
+    collect();
+  }
+  void announceCrash(const CrashNote &Note) override {
+    NodeMessage Message = makeMessage();
+    Message.Crashes.push_back(Note);
+    sendToAll(Message);
+  }
   void announceEndpointRows(const std::vector<catalog::Row> &Rows) override {
+    NodeMessage Message = makeMessage();
     std::size_t Bytes = 0;
     for (const catalog::Row &Each : Rows) {
       if (Bytes > MaxRowBytesPerMessage) {
-        flush();
+        sendToAll(Message);
+        Message.EndpointRows.clear();
         Bytes = 0;
       }
       Bytes += Each.Key.size() + Each.Value.size();
-      Pending_.EndpointRows.push_back(
+      Message.EndpointRows.push_back(
           {Each.Key, Each.Value, Each.Version, Each.Removed});
     }
-    flush();
+    sendToAll(Message);
   }
 
-  int possibleNodes() const override {
-    return static_cast<int>(Peers_.size()) + 1;
-  }
-  int liveNodes() const override {
-    int Count = 1;
-    const TimePoint Now = std::chrono::steady_clock::now();
-    for (const auto &[Host, Entry] : Peers_)
-      if (isLive(Entry, Now))
-        ++Count;
-    return Count;
-  }
+  int possibleNodes() const override { return Peers_.possibleCount(); }
+  int liveNodes() const override { return Peers_.liveCount(now()); }
 
 private:
-  static bool isLive(const Peer &Entry, TimePoint Now) {
-    return Entry.WasHeard && Now - Entry.LastHeard < SilentAfter;
-  }
+  static TimePoint now() { return std::chrono::steady_clock::now(); }
+  bool knowsWork() const { return now() - StartedAt_ > KnowsWorkAfter; }
 
-  /// Nodes that come before this one and say that they follow the table.
-  int betterFollowers() const {
-    const TimePoint Now = std::chrono::steady_clock::now();
-    return static_cast<int>(
-        std::count_if(Peers_.begin(), Peers_.end(), [&](const auto &Known) {
-          return Known.second.Following && Known.second.Rank < Rank_ &&
-                 Now - Known.second.LastHeard < FollowerSilence;
-        }));
+  Peer *peerAt(const std::string &Host) {
+    return Peers_.at(Host, Options_.Internal.Port);
   }
 
-  /// The first followers, and others at random where these are too few.
+  /// The first follower, which knows best, and another node.
   std::vector<const Peer *> nodesToAsk() {
-    const TimePoint Now = std::chrono::steady_clock::now();
+    const TimePoint Now = now();
     std::vector<const Peer *> Live;
-    for (const auto &[Host, Entry] : Peers_)
-      if (isLive(Entry, Now))
+    for (const auto &[Host, Entry] : Peers_.all())
+      if (PeerTable::isLive(Entry, Now))
         Live.push_back(&Entry);
     std::shuffle(Live.begin(), Live.end(), Random_);
-    std::stable_sort(Live.begin(), Live.end(),
-                     [](const Peer *Left, const Peer *Right) {
-                       if (Left->Following != Right->Following)
-                         return Left->Following;
-                       return Left->Following && Left->Rank < Right->Rank;
-                     });
-    // The first follower knows best; the other one asked varies.
-    if (Live.size() > AskedNodes)
-      std::shuffle(Live.begin() + 1, Live.end(), Random_);
+    const auto First = std::min_element(
+        Live.begin(), Live.end(), [](const Peer *Left, const Peer *Right) {
+          if (Left->Following != Right->Following)
+            return Left->Following;
+          return Left->Following && ranksBefore(Left->Rank, Right->Rank);
+        });
+    if (First != Live.end())
+      std::iter_swap(Live.begin(), First);
     Live.resize(std::min(Live.size(), AskedNodes));
     return Live;
   }
@@ -226,31 +251,16 @@
   void takeFreshness(const NodeMessage &Message) {
     // Only answers to own questions count, and only from nodes that know no
     // change that this one lacks.
-    const auto Question = std::find(Questions_.begin(), Questions_.end(),
-                                    Message.FreshnessAnswerTo);
-    if (Question == Questions_.end() || Message.OperatorRow > OperatorRow_ ||
-        Message.OperatorAgeMs < 0)
+    const auto Question =
+        std::find(FreshnessQuestions_.begin(), FreshnessQuestions_.end(),
+                  Message.FreshnessAnswerTo);
+    if (Question == FreshnessQuestions_.end() ||
+        Message.OperatorRow > OperatorRow_ || Message.OperatorAgeMs < 0)
       return;
     Events_.OperatorConfirmed(BootTime(std::chrono::nanoseconds(*Question)),
                               Duration(Message.OperatorAgeMs));
   }
 
-  Peer *peerAt(const std::string &Host) {
-    const auto Found = Peers_.find(Host);
-    if (Found != Peers_.end())
-      return &Found->second;
-    Code Failure;
-    const auto Ip = asio::ip::make_address(Host, Failure);
-    if (Failure) {
-      logWarning("node_address_invalid").field("address", Host);
-      return nullptr;
-    }
-    Peer Entry;
-    Entry.Where = Udp::endpoint(Ip, Options_.Internal.Port);
-    Entry.Origin = NextOrigin_++;
-    return &Peers_.emplace(Host, Entry).first->second;
-  }
-
   void receive() {
     Socket_.async_receive_from(
         asio::buffer(Received_), Sender_,
@@ -275,37 +285,14 @@
     Peer *From = peerAt(Sender_.address().to_string());
     if (!From || Message->Node == Options_.Name)
       return;
-    const TimePoint Now = std::chrono::steady_clock::now();
-    if (From->Incarnation != Message->Incarnation) {
-      if (From->WasHeard)
-        Events_.NodeLost(From->Origin);
-      From->Incarnation = Message->Incarnation;
-    }
-    if (!From->WasHeard || From->Lost)
-      logEvent("node_heard")
-          .field("node", Message->Node)
-          .field("address", Sender_.address().to_string())
-          .field("incarnation", Message->Incarnation);
-    From->Name = Message->Node;
-    From->WasHeard = true;
-    From->Lost = false;
-    From->LastHeard = Now;
-    From->Following = Message->Following;
-    From->Rank = hashBytes(Message->Node);
+    noteHeard(*From, *Message);
     for (const std::string &Host : Message->KnownNodes)
-      if (Host != Options_.Internal.Host)
-        (void)peerAt(Host);
-    const std::uint32_t Origin = From->Origin;
-    for (const WorkStarted &Work : Message->Started)
-      Events_.WorkStarted(toAssignment(Work, Origin));
-    for (const std::uint64_t Id : Message->FirstTokens)
-      Events_.FirstToken(Id);
-    for (const std::uint64_t Id : Message->Finished)
-      Events_.WorkFinished(Id);
-    for (const CrashNote &Note : Message->Crashes)
-      Events_.Crash(Note);
-    for (const std::string &Id : Message->SilentEndpoints)
-      Events_.EndpointSilent(Id);
+      (void)peerAt(Host);
+    takeWork(*Message, From->Origin);
+    for (const PlacementQuestion &Each : Message->Questions)
+      Events_.Question(Each, From->Host, From->Origin);
+    for (const PlacementAnswer &Each : Message->Answers)
+      Events_.Answer(Each);
     if (!Message->EndpointRows.empty()) {
       std::vector<catalog::Row> Rows;
       for (const EndpointRowNews &Each : Message->EndpointRows)
@@ -319,56 +306,139 @@
       takeFreshness(*Message);
   }
 
+  void noteHeard(Peer &From, const NodeMessage &Message) {
+    if (From.Incarnation != Message.Incarnation) {
+      if (From.WasHeard)
+        Events_.NodeLost(From.Origin);
+      From.Incarnation = Message.Incarnation;
+    }
+    if (!From.WasHeard || From.Lost)
+      logEvent("node_heard")
+          .field("node", Message.Node)
+          .field("address", From.Host)
+          .field("incarnation", Message.Incarnation);
+    From.Name = Message.Node;
+    From.WasHeard = true;
+    From.Lost = false;
+    From.LastHeard = now();
+    From.Following = Message.Following;
+    From.KnowsWork = Message.KnowsWork;
+    From.Rank = {Message.CpuShare, hashBytes(Message.Node)};
+    From.OperatorRow = Message.OperatorRow;
+    From.EndpointRow = Message.EndpointRow;
+  }
+
+  void takeWork(const NodeMessage &Message, std::uint32_t Origin) {
+    for (const WorkStarted &Work : Message.Started) {
+      if (Work.Requester == Options_.Internal.Host)
+        continue;
+      const Peer *Requester =
+          Work.Requester.empty() ? nullptr : peerAt(Work.Requester);
+      Events_.WorkStarted(
+          toAssignment(Work, Requester ? Requester->Origin : Origin));
+    }
+    for (const std::uint64_t Id : Message.FirstTokens)
+      Events_.FirstToken(Id);
+    for (const std::uint64_t Id : Message.Finished)
+      Events_.WorkFinished(Id);
+    for (const CrashNote &Note : Message.Crashes)
+      Events_.Crash(Note);
+    for (const std::string &Id : Message.SilentEndpoints)
+      Events_.EndpointSilent(Id);
+    for (const OutcomeNote &Note : Message.Outcomes)
+      Events_.Outcome(Note);
+  }
+
   void noteVersions(const NodeMessage &Message) {
-    const bool Newer = Message.OperatorRow > OperatorRow_ ||
-                       Message.EndpointRow > EndpointRow_;
-    if (!Newer || CatchingUp_)
+    const bool IsNewer = Message.OperatorRow > OperatorRow_ ||
+                         Message.EndpointRow > EndpointRow_;
+    if (!IsNewer || CatchingUp_)
       return;
     CatchingUp_ = true;
-    const http::Address From{Sender_.address().to_string(),
-                             Options_.Internal.Port};
-    const std::uint64_t OperatorRow = Message.OperatorRow;
-    const std::uint64_t EndpointRow = Message.EndpointRow;
-    auto Timer = std::make_shared<asio::steady_timer>(Socket_.get_executor(),
-                                                      CatchUpDelay);
-    Timer->async_wait(
-        [this, Timer, From, OperatorRow, EndpointRow](Code Failure) {
-          CatchingUp_ = false;
-          if (Failure)
-            return;
-          if (OperatorRow > OperatorRow_)
-            Events_.NewerRows(catalog::Table::Operator, From);
-          if (EndpointRow > EndpointRow_)
-            Events_.NewerRows(catalog::Table::Endpoints, From);
-        });
+    Duration Delay = CatchUpDelay;
+    if (hasRoles())
+      Delay += Duration(
+          std::uniform_int_distribution<int>(0, CatchUpSpreadMs)(Random_));
+    auto Timer =
+        std::make_shared<asio::steady_timer>(Socket_.get_executor(), Delay);
+    Timer->async_wait([this, Timer](Code Failure) {
+      CatchingUp_ = false;
+      if (Failure)
+        return;
+      catchUp(catalog::Table::Operator, &Peer::OperatorRow, OperatorRow_);
+      catchUp(catalog::Table::Endpoints, &Peer::EndpointRow, EndpointRow_);
+    });
+  }
+
+  /// Reads rows newer than `Own` from one of the nodes that hold the newest.
+  void catchUp(catalog::Table Which, std::uint64_t Peer::*Row,
+               std::uint64_t Own) {
+    const TimePoint Now = now();
+    std::uint64_t Newest = Own;
+    for (const auto &[Host, Entry] : Peers_.all())
+      if (PeerTable::isLive(Entry, Now))
+        Newest = std::max(Newest, Entry.*Row);
+    if (Newest <= Own)
+      return;
+    std::vector<const Peer *> Holders;
+    for (const auto &[Host, Entry] : Peers_.all())
+      if (PeerTable::isLive(Entry, Now) && Entry.*Row == Newest)
+        Holders.push_back(&Entry);
+    const std::size_t Picked = std::uniform_int_distribution<std::size_t>(
+        0, Holders.size() - 1)(Random_);
+    Events_.NewerRows(Which, {Holders[Picked]->Host, Options_.Internal.Port});
+  }
+
+  /// Whether this node's heartbeats go to all nodes.
+  bool beatsToAll() const {
+    return !hasRoles() || Following_ || BeatCount_ < IntroductionBeats ||
+           Peers_.isAmongBest(PlacerReserve);
   }
 
   void beat() {
-    const TimePoint Now = std::chrono::steady_clock::now();
-    for (auto &[Host, Entry] : Peers_)
-      if (Entry.WasHeard && !Entry.Lost && !isLive(Entry, Now)) {
-        Entry.Lost = true;
-        logWarning("node_silent")
-            .field("node", Entry.Name)
-            .field("address", Host);
-        Events_.NodeLost(Entry.Origin);
-      }
+    const TimePoint Now = now();
+    for (auto &[Host, Entry] : Peers_.all())
+      if (Entry.WasHeard && !Entry.Lost && !PeerTable::isLive(Entry, Now))
+        loseNode(Entry);
     NodeMessage Message = makeMessage();
-    for (const auto &[Host, Entry] : Peers_)
-      if (isLive(Entry, Now) && Message.KnownNodes.size() < MaxKnownNodes)
-        Message.KnownNodes.push_back(Host);
-    const std::string Bytes = packMessage(Message);
-    for (const auto &[Host, Entry] : Peers_)
-      send(Bytes, Entry.Where);
-    const int Factor = 1 + static_cast<int>(Peers_.size()) / NodesPerHeartbeat;
-    Heartbeat_.expires_after(Following_ ? FollowerHeartbeat
-                                        : HeartbeatPeriod * Factor);
+    Duration Period = HeartbeatPeriod;
+    if (!hasRoles()) {
+      for (const auto &[Host, Entry] : Peers_.all())
+        if (PeerTable::isLive(Entry, Now) &&
+            Message.KnownNodes.size() < MaxKnownNodes)
+          Message.KnownNodes.push_back(Host);
+      Period *= 1 + Peers_.possibleCount() / NodesPerHeartbeat;
+      if (Following_)
+        Period = RoleHeartbeat;
+    } else if (beatsToAll()) {
+      Period = RoleHeartbeat;
+      for (const Peer *Each : Peers_.best(PlacerReserve))
+        Message.KnownNodes.push_back(Each->Host);
+    }
+    if (beatsToAll())
+      sendToAll(Message);
+    else
+      sendToBest(Message);
+    ++BeatCount_;
+    Heartbeat_.expires_after(Period);
     Heartbeat_.async_wait([this](Code Failure) {
       if (!Failure)
         beat();
     });
   }
 
+  void loseNode(Peer &Entry) {
+    Entry.Lost = true;
+    // Nodes of a large fleet are only heard by those with roles, and by all
+    // when they start.
+    if (hasRoles() && !Peers_.isAmongBest(PlacerReserve))
+      return;
+    logWarning("node_silent")
+        .field("node", Entry.Name)
+        .field("address", Entry.Host);
+    Events_.NodeLost(Entry.Origin);
+  }
+
   NodeMessage makeMessage() const {
     NodeMessage Message;
     Message.Node = Options_.Name;
@@ -376,11 +446,13 @@
     Message.OperatorRow = OperatorRow_;
     Message.EndpointRow = EndpointRow_;
     Message.Following = Following_;
+    Message.CpuShare = Options_.CpuShare;
+    Message.KnowsWork = knowsWork();
     return Message;
   }
 
   void collect() {
-    if (Pending_.FirstTokens.size() + Pending_.Finished.size() >=
+    if (Work_.FirstTokens.size() + Work_.Finished.size() >=
         MaxItemsPerMessage) {
       flush();
       return;
@@ -396,22 +468,55 @@
     });
   }
 
+  /// Sends what was collected about work: to all in a small fleet, to those
+  /// that place requests in a large one.
   void flush() {
-    if (Pending_.Started.empty() && Pending_.FirstTokens.empty() &&
-        Pending_.Finished.empty() && Pending_.Crashes.empty() &&
-        Pending_.EndpointRows.empty() && Pending_.SilentEndpoints.empty())
+    if (Work_.Started.empty() && Work_.FirstTokens.empty() &&
+        Work_.Finished.empty() && Work_.SilentEndpoints.empty() &&
+        Work_.Outcomes.empty())
       return;
     NodeMessage Message = makeMessage();
-    Message.Started.swap(Pending_.Started);
-    Message.FirstTokens.swap(Pending_.FirstTokens);
-    Message.Finished.swap(Pending_.Finished);
-    Message.Crashes.swap(Pending_.Crashes);
-    Message.SilentEndpoints.swap(Pending_.SilentEndpoints);
-    Message.EndpointRows.swap(Pending_.EndpointRows);
+    Message.Started.swap(Work_.Started);
+    Message.FirstTokens.swap(Work_.FirstTokens);
+    Message.Finished.swap(Work_.Finished);
+    Message.SilentEndpoints.swap(Work_.SilentEndpoints);
+    Message.Outcomes.swap(Work_.Outcomes);
+    if (!hasRoles()) {
+      sendToLive(Message);
+      return;
+    }
+    // Also to the best-ranked ones that have just started: they place requests
+    // as soon as they know enough.
+    std::set<std::string> Hosts;
+    for (std::string &Host : placers())
+      Hosts.insert(std::move(Host));
+    for (const Peer *Each : Peers_.best(PlacerCount))
+      Hosts.insert(Each->Host);
+    const std::string Bytes = packMessage(Message);
+    for (const std::string &Host : Hosts)
+      if (const Peer *Each = Peers_.find(Host))
+        send(Bytes, Each->Where);
+  }
+
+  void sendTo(const std::string &Host, const NodeMessage &Message) {
+    if (const Peer *Entry = Peers_.find(Host))
+      send(packMessage(Message), Entry->Where);
+  }
+  void sendToAll(const NodeMessage &Message) {
+    const std::string Bytes = packMessage(Message);
+    for (const auto &[Host, Entry] : Peers_.all())
+      send(Bytes, Entry.Where);
+  }
+  void sendToBest(const NodeMessage &Message) {
+    const std::string Bytes = packMessage(Message);
+    for (const Peer *Each : Peers_.best(PlacerReserve))
+      send(Bytes, Each->Where);
+  }
+  void sendToLive(const NodeMessage &Message) {
     const std::string Bytes = packMessage(Message);
-    const TimePoint Now = std::chrono::steady_clock::now();
-    for (const auto &[Host, Entry] : Peers_)
-      if (isLive(Entry, Now))
+    const TimePoint Now = now();
+    for (const auto &[Host, Entry] : Peers_.all())
+      if (PeerTable::isLive(Entry, Now))
         send(Bytes, Entry.Where);
   }
 
@@ -422,21 +527,21 @@
 
   NodeNetworkOptions Options_;
   NodeNetworkEvents Events_;
-  std::uint64_t Rank_;
+  PeerTable Peers_;
+  TimePoint StartedAt_;
   Udp::socket Socket_;
   Udp::endpoint Sender_;
   std::array<char, 16 * 1024> Received_{};
   asio::steady_timer Heartbeat_;
   asio::steady_timer Collect_;
+  int BeatCount_ = 0;
   bool Collecting_ = false;
   bool CatchingUp_ = false;
   bool Following_ = false;
-  std::map<std::string, Peer> Peers_; ///< by IP address
-  std::uint32_t NextOrigin_ = 1;
   std::uint64_t OperatorRow_ = 0;
   std::uint64_t EndpointRow_ = 0;
-  NodeMessage Pending_;
-  std::deque<std::uint64_t> Questions_; ///< stamps of the latest ones
+  NodeMessage Work_;                             ///< collected notes about work
+  std::deque<std::uint64_t> FreshnessQuestions_; ///< stamps of the latest ones
   std::minstd_rand Random_{std::random_device{}()};
 };
 
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cassiashed/balancing/endpoint_health.h"
 #include "cassiashed/balancing/fleet_load.h"
 #include "cassiashed/base/boot_clock.h"
 #include "cassiashed/catalog/row_mirror.h"
@@ -22,6 +23,7 @@
   std::string Name;
   std::uint64_t Incarnation = 0; ///< random, of this process
   http::Address Internal;        ///< own address, UDP and TCP
+  double CpuShare = 0;           ///< cores that this process may use
   std::vector<std::string> SeedHosts;
 };
 
@@ -32,6 +34,12 @@
   std::function<void(std::uint64_t Id)> WorkFinished;
   std::function<void(const CrashNote &)> Crash;
   std::function<void(const std::string &EndpointId)> EndpointSilent;
+  std::function<void(const OutcomeNote &)> Outcome;
+  /// A node asks where a request should run.
+  std::function<void(const PlacementQuestion &, const std::string &Host,
+                     std::uint32_t Origin)>
+      Question;
+  std::function<void(PlacementAnswer)> Answer;
   /// A node was replaced or fell silent; its work ended or goes unreported.
   std::function<void(std::uint32_t Origin)> NodeLost;
   /// Rows of the endpoints' table that a node read from the store.
@@ -45,33 +53,62 @@
   std::function<void(catalog::Table, http::Address Peer)> NewerRows;
 };
 
-/// Datagrams between the gateways of a deployment.
+/// Datagrams between the gateways of a deployment. In a small fleet every node
+/// tells all others what it does. In a large one it tells the best-ranked
+/// nodes, which place requests for all, and a node's messages do not grow with
+/// the number of nodes.
 class NodeNetwork {
 public:
   virtual ~NodeNetwork() = default;
 
   /// A node named in the nodes' table.
-  virtual void addNode(const std::string &Name, const std::string &Host) = 0;
+  virtual void addNode(const std::string &Name, const std::string &Host,
+                       double CpuShare) = 0;
   virtual void removeNode(const std::string &Name) = 0;
   /// Newest rows that this node holds; sent with every message.
   virtual void setRowVersions(std::uint64_t OperatorRow,
                               std::uint64_t EndpointRow) = 0;
-  /// Whether this node should follow the endpoints' table at the store: too
-  /// few nodes that come before it say that they do.
+  /// Whether some nodes have roles for all: they follow tables at the store
+  /// and place requests. So in a large fleet.
+  virtual bool hasRoles() const = 0;
+  /// Whether this node should follow tables at the store: too few nodes that
+  /// come before it say that they do.
   virtual bool shouldFollow() const = 0;
-  /// Whether no better-ranked node says that it follows the table.
+  /// Whether no better-ranked node says that it follows tables.
   virtual bool isFirstFollower() const = 0;
+  /// Tells the other nodes whether this one follows tables.
+  virtual void setFollowing(bool Following) = 0;
   /// Asks some nodes how current their copy of the operator's table is, those
   /// that follow tables first.
   virtual void askOperatorAge() = 0;
-  /// Tells the other nodes whether this one follows the table.
-  virtual void setFollowing(bool Following) = 0;
 
-  virtual void announceStart(const balancing::Assignment &Work) = 0;
+  /// Addresses of the nodes to ask for a placement, best first; this node's
+  /// own address may be one of them.
+  virtual std::vector<std::string> placers() const = 0;
+  /// Nodes that may place requests on endpoints with a limited rate; this node
+  /// is one of them if `mayPlaceOnCold`. Known from the nodes' table, not from
+  /// who is heard, so the sum over all of them is bounded in every split.
+  virtual int coldPlacerCount() const = 0;
+  virtual bool mayPlaceOnCold() const = 0;
+  virtual const std::string &ownHost() const = 0;
+  virtual void ask(const std::string &Host,
+                   const PlacementQuestion &Question) = 0;
+  virtual void answer(const std::string &Host,
+                      const PlacementAnswer &Answer) = 0;
+  /// The placer did not answer in time.
+  virtual void notePlacerSilent(const std::string &Host) = 0;
+
+  /// `Requester`: address of the node that sends the request, if it is not
+  /// this one.
+  virtual void announceStart(const balancing::Assignment &Work,
+                             const std::string &Requester) = 0;
   virtual void announceFirstToken(std::uint64_t Id) = 0;
   virtual void announceFinish(std::uint64_t Id) = 0;
   virtual void announceCrash(const CrashNote &Note) = 0;
   virtual void announceSilence(const std::string &EndpointId) = 0;
+  /// Only placers hear of it; nodes of a small fleet judge for themselves.
+  virtual void announceOutcome(const std::string &EndpointId,
+                               balancing::EndpointOutcome Outcome) = 0;
   virtual void announceEndpointRows(const std::vector<catalog::Row> &Rows) = 0;
 
   /// Nodes that may be running, this one included: known by name or heard.
--- /dev/null
+++ b/src/gateway/peer_table_test.cpp
@@ -0,0 +1,71 @@
+#include "gateway/peer_table.h"
+
+#include <doctest/doctest.h>
+
+using namespace cassiashed;
+using namespace cassiashed::gateway;
+using std::chrono::milliseconds;
+
+namespace {
+
+const TimePoint Now{std::chrono::hours(1)};
+
+/// A table of a fleet with `Large` hosts of half a core and `Small` ones.
+PeerTable makeTable(int Large, int Small, balancing::NodeRank Own) {
+  PeerTable Table("10.0.9.9", Own);
+  for (int Index = 0; Index < Large + Small; ++Index) {
+    Peer *Entry = Table.at("10.0.0." + std::to_string(Index + 1), 7000);
+    Entry->Name = "node-" + std::to_string(Index);
+    Entry->Rank = {Index < Large ? 0.5 : 0.12,
+                   static_cast<std::uint64_t>(Index + 1)};
+    Entry->WasHeard = true;
+    Entry->KnowsWork = true;
+    Entry->LastHeard = Now;
+  }
+  return Table;
+}
+
+} // namespace
+
+TEST_CASE("small fleets have no roles, large ones do") {
+  CHECK_FALSE(makeTable(0, 8, {0.25, 0}).hasRoles());
+  CHECK(makeTable(3, 60, {0.12, 0}).hasRoles());
+}
+
+TEST_CASE("the placers are the best-ranked nodes that are heard") {
+  PeerTable Table = makeTable(3, 60, {0.12, 500});
+  CHECK(Table.placers(3, true, Now) ==
+        std::vector<std::string>{"10.0.0.1", "10.0.0.2", "10.0.0.3"});
+  Table.find("10.0.0.1")->LastHeard = Now - milliseconds(1500);
+  CHECK(Table.placers(2, true, Now) ==
+        std::vector<std::string>{"10.0.0.2", "10.0.0.3"});
+  Table.find("10.0.0.2")->SuspectUntil = Now + milliseconds(500);
+  CHECK(Table.placers(1, true, Now) == std::vector<std::string>{"10.0.0.3"});
+}
+
+TEST_CASE("a node that hears nobody places its own requests") {
+  const PeerTable Table = makeTable(3, 60, {0.12, 500});
+  CHECK(Table.placers(3, true, Now + std::chrono::seconds(9)) ==
+        std::vector<std::string>{"10.0.9.9"});
+}
+
+// Whoever is cut off must not believe that it may use cold endpoints: their
+// limit is shared by a fixed number of nodes.
+TEST_CASE("the nodes with a share of cold endpoints do not depend on who is "
+          "heard") {
+  PeerTable Table = makeTable(3, 60, {0.12, 500});
+  CHECK_FALSE(Table.isAmongBest(6));
+  for (auto &[Host, Entry] : Table.all())
+    Entry.LastHeard = Now - std::chrono::hours(1);
+  CHECK_FALSE(Table.isAmongBest(6));
+  CHECK(makeTable(3, 60, {0.5, 0}).isAmongBest(6));
+}
+
+TEST_CASE("followers count while they are heard") {
+  PeerTable Table = makeTable(3, 60, {0.12, 500});
+  CHECK(Table.betterFollowers(Now) == 0);
+  Table.find("10.0.0.1")->Following = true;
+  Table.find("10.0.0.2")->Following = true;
+  CHECK(Table.betterFollowers(Now) == 2);
+  CHECK(Table.betterFollowers(Now + std::chrono::seconds(2)) == 0);
+}
--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -18,8 +18,12 @@
 /// Where keys are refused that nobody can vouch for, one node hears from the
 /// store this often, in parts of the bound; the others ask it.
 constexpr double ConfirmPart = 0.2;
-/// A read that only confirms what is known.
+/// A read that only confirms what is known, or that the store is back.
 constexpr Duration NoWait{1};
+/// Reading the nodes' table takes some calls of the store.
+constexpr Duration JoinTime{100};
+/// Nodes with a role say so each 400 ms.
+constexpr Duration RoleTime{1000};
 /// Changes of the configuration within this time are read with one call.
 constexpr Duration OperatorPause{200};
 /// How often a node that does not follow a table checks whether it should.
@@ -27,6 +31,8 @@
 constexpr Duration FirstPause{100};
 constexpr Duration LongestPause{1500};
 constexpr Duration PeerReadLimit{1000};
+/// Another node's rows of one table: some hundred of at most 64 KiB.
+constexpr std::size_t PeerReadBytes = 16 * 1024 * 1024;
 
 constexpr std::array<std::string_view, catalog::TableCount> TableNames = {
     "operator", "endpoints", "nodes"};
@@ -80,6 +86,9 @@
   http::Task<void> follow(Table Which) {
     Duration Pause = FirstPause;
     bool ReadAll = true;
+    // A call that waits for changes would tell of the store's return only when
+    // something changes.
+    bool HasFailed = false;
     while (true) {
       if (!ReadAll && !mayFollow(Which)) {
         co_await http::sleepFor(RoleCheck);
@@ -91,10 +100,14 @@
         Result = co_await Store_.readAll(Which);
       else
         Result = co_await Store_.waitForChanges(Which, mirror(Which).version(),
-                                                followWait(Which));
+                                                HasFailed ? NoWait
+                                                          : followWait(Which));
       noteAnswer(Which, Result);
+      HasFailed = Result.Status != StoreStatus::Ok;
       if (Result.Status == StoreStatus::Ok) {
         take(Which, Result, ReadAll, SentAt);
+        if (ReadAll)
+          co_await awaitRoles();
         ReadAll = false;
         Pause = FirstPause;
         if (Which == Table::Operator)
@@ -110,6 +123,14 @@
     }
   }
 
+  /// After the first read: lets the nodes of a large fleet hear of each other,
+  /// or each of them would follow the tables.
+  http::Task<void> awaitRoles() {
+    co_await http::sleepFor(JoinTime);
+    if (State_.Nodes->hasRoles())
+      co_await http::sleepFor(RoleTime);
+  }
+
   Duration followWait(Table Which) const {
     const GatewayBounds &Bounds = State_.Settings.Bounds;
     if (Which == Table::Operator && Bounds.RevokeFailClosed &&
@@ -139,9 +160,10 @@
   }
 
   /// Whether this node follows the table at the store. The endpoints' table
-  /// changes often; a few nodes follow it and pass the changes on.
+  /// changes often; a few nodes follow it and pass the changes on. In a large
+  /// fleet the same goes for the operator's table, which all read at once.
   bool mayFollow(Table Which) {
-    if (Which != Table::Endpoints)
+    if (Which != Table::Endpoints && !State_.Nodes->hasRoles())
       return true;
     const bool Should = State_.Nodes->shouldFollow();
     if (!Should)
@@ -201,8 +223,8 @@
     Call.Target = "/rows/" + std::string(nameOf(Which)) +
                   "?after=" + std::to_string(mirror(Which).newestRow());
     const std::string From = Peer.Host;
-    std::optional<http::Response> Reply =
-        co_await http::fetch(std::move(Peer), Call, PeerReadLimit);
+    std::optional<http::Response> Reply = co_await http::fetch(
+        std::move(Peer), Call, PeerReadLimit, nullptr, PeerReadBytes);
     std::string Reason = "no answer";
     std::optional<std::vector<Row>> Rows;
     if (Reply && Reply->Status == 200)
