--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include "gateway/catalog_updater.h"
 #include "gateway/row_follower.h"
 #include "gateway/row_messages.h"
+#include "gateway/shared_placement.h"
 #include "http/server.h"
 #include <boost/asio/signal_set.hpp>
 #include <charconv>
@@ -89,6 +90,7 @@
     NodeNetworkOptions Options;
     Options.Name = State_.Settings.Gateway.Name;
     Options.Incarnation = State_.Random();
+    Options.CpuShare = State_.Settings.Limits.CpuShare;
     Options.Internal = {State_.Settings.Gateway.Internal.Host,
                         State_.Settings.Gateway.Internal.Port};
     for (const HostPort &Seed : State_.Settings.Cluster.Seeds)
@@ -97,9 +99,7 @@
     Events.WorkStarted = [this](const balancing::Assignment &Work) {
       State_.Load.assign(Work, State_.now());
     };
-    Events.FirstToken = [this](std::uint64_t Id) {
-      State_.Load.markStarted(Id, State_.now());
-    };
+    Events.FirstToken = [this](std::uint64_t Id) { noteFirstToken(Id); };
     Events.WorkFinished = [this](std::uint64_t Id) {
       State_.Load.finish(Id, State_.now());
     };
@@ -113,12 +113,26 @@
                            balancing::EndpointOutcome::ReportedSilent,
                            State_.now());
     };
+    Events.Outcome = [this](const OutcomeNote &Note) { takeOutcome(Note); };
+    Events.Question = [this](const PlacementQuestion &Question,
+                             const std::string &Host, std::uint32_t Origin) {
+      State_.Placement->takeQuestion(Question, Host, Origin);
+    };
+    Events.Answer = [this](PlacementAnswer Answer) {
+      State_.Placement->takeAnswer(std::move(Answer));
+    };
     Events.NodeLost = [this](std::uint32_t Origin) {
       State_.Load.finishAllOf(Origin, State_.now());
     };
     Events.EndpointRows = [this](std::vector<catalog::Row> Rows) {
       Rows_->takeFromPeer(catalog::Table::Endpoints, std::move(Rows));
     };
+    Events.OperatorAge = [this] {
+      return State_.OperatorFreshness.age(BootClock::now());
+    };
+    Events.OperatorConfirmed = [this](BootTime AskedAt, Duration Age) {
+      State_.OperatorFreshness.notePeerAnswer(AskedAt, Age);
+    };
     Events.NewerRows = [this](catalog::Table Which, http::Address Peer) {
       Rows_->fetchFrom(Which, std::move(Peer));
     };
@@ -127,6 +141,28 @@
     return State_.Nodes != nullptr;
   }
 
+  /// Another node's request began to produce.
+  void noteFirstToken(std::uint64_t Id) {
+    const TimePoint Now = State_.now();
+    State_.Load.markStarted(Id, Now);
+    const std::string *Writer = State_.Load.writerOf(Id);
+    const catalog::EndpointRef Known =
+        Writer ? State_.Directory.find(*Writer) : nullptr;
+    if (Known)
+      State_.Health.noteHeard(Known->Number, false, Now);
+  }
+
+  void takeOutcome(const OutcomeNote &Note) {
+    using balancing::EndpointOutcome;
+    const catalog::EndpointRef Known = State_.Directory.find(Note.EndpointId);
+    if (!Known || Note.Outcome > static_cast<std::uint32_t>(
+                                     EndpointOutcome::ReportedSilent))
+      return;
+    State_.Health.note(Known->Number,
+                       static_cast<EndpointOutcome>(Note.Outcome),
+                       State_.now());
+  }
+
   using Answer = http::Response (Gateway::*)(const http::Request &);
 
   std::unique_ptr<http::Server> serve(const HostPort &Address, Answer Handle,
@@ -150,13 +186,53 @@
 
   bool isReady() const {
     return !State_.Stopping && State_.Config &&
-           Rows_->hasRead(catalog::Table::Endpoints);
+           Rows_->hasRead(catalog::Table::Endpoints) && knowsNeededKeys();
+  }
+
+  /// Callers with keys are better off at a node that knows them.
+  bool knowsNeededKeys() const {
+    return !State_.Config->HasWorkspaces || State_.knowsKeys();
+  }
+
+  /// Keeps the operator's table current where a node must know which keys are
+  /// valid.
+  void keepCurrent() {
+    const GatewayBounds &Bounds = State_.Settings.Bounds;
+    if (!Bounds.RevokeFailClosed)
+      return;
+    const BootTime Now = BootClock::now();
+    const std::optional<Duration> Age = State_.OperatorFreshness.age(Now);
+    const auto Since = [Now](BootTime At) {
+      return std::chrono::duration_cast<Duration>(Now - At);
+    };
+    const catalog::Refresh Next = catalog::nextRefresh(
+        Age, Bounds.Revoke, Since(AskedAt_), Since(ConfirmedAt_));
+    if (Next == catalog::Refresh::ReadStore) {
+      ConfirmedAt_ = Now;
+      Rows_->confirmOperatorRows();
+    }
+    if (Next != catalog::Refresh::Nothing) {
+      AskedAt_ = Now;
+      State_.Nodes->askOperatorAge();
+    }
+    const bool Knows = State_.knowsKeys();
+    if (Knows == KnewKeys_)
+      return;
+    KnewKeys_ = Knows;
+    (Knows ? logEvent("keys_known") : logWarning("keys_unknown"))
+        .field("age_ms", Age ? Age->count() : -1)
+        .field("bound_ms", Bounds.Revoke.count())
+        .field("config", State_.Config ? State_.Config->Version : 0);
   }
 
   http::Response answerReadiness(const http::Request & /*Call*/) {
     if (isReady())
       return {200, {}, "ready\n"};
-    return {503, {}, State_.Stopping ? "stopping\n" : "no configuration\n"};
+    if (State_.Stopping)
+      return {503, {}, "stopping\n"};
+    const bool Read =
+        State_.Config && Rows_->hasRead(catalog::Table::Endpoints);
+    return {503, {}, Read ? "keys unknown\n" : "no configuration\n"};
   }
 
   http::Response answerMetrics(const http::Request & /*Call*/) {
@@ -201,7 +277,8 @@
       StoreRows Result;
       if (!Written)
         Result = co_await Adapter_.Store->writeNode(
-            Self.Name, encodeNodeRow(Self.Internal.Host));
+            Self.Name,
+            encodeNodeRow(Self.Internal.Host, State_.Settings.Limits.CpuShare));
       else
         Result = co_await Adapter_.Store->readAll(catalog::Table::Nodes);
       if (Result.Status != StoreStatus::Ok) {
@@ -223,6 +300,7 @@
     const TimePoint Now = State_.now();
     Updater_.tick(Now);
     State_.Load.expire(Now);
+    keepCurrent();
     if (Now - LastHousekeeping_ >= HousekeepingPeriod) {
       LastHousekeeping_ = Now;
       State_.Pool.dropExpired(Now);
@@ -300,7 +378,7 @@
     State_.Settings.Limits = Loaded->Limits;
     State_.applyBounds();
     for (const HostPort &Seed : Loaded->Cluster.Seeds)
-      State_.Nodes->addNode("", Seed.Host);
+      State_.Nodes->addNode("", Seed.Host, 0);
     logEvent("settings_reloaded").field("cause", Cause);
   }
 
@@ -323,6 +401,9 @@
     Metrics.setGauge("possible_nodes", State_.Nodes->possibleNodes());
     Metrics.setGauge("store_answers", Rows_->storeAnswers() ? 1 : 0);
     Metrics.setGauge("ready", isReady() ? 1 : 0);
+    const auto Age = State_.OperatorFreshness.age(BootClock::now());
+    Metrics.setGauge("operator_rows_age_seconds",
+                     Age ? std::chrono::duration<double>(*Age).count() : -1);
   }
 
   asio::io_context Context_;
@@ -340,6 +421,9 @@
   std::unique_ptr<http::Server> Metrics_;
   TimePoint LastHousekeeping_;
   TimePoint LastSettingsCheck_;
+  BootTime AskedAt_;     ///< other nodes, for their rows' age
+  BootTime ConfirmedAt_; ///< the last read that only confirms rows
+  bool KnewKeys_ = true;
   std::filesystem::file_time_type SettingsTime_;
 };
 
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway_state.h"
 
+#include "gateway/shared_placement.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -11,6 +13,9 @@
 constexpr Duration CrashWindow{6000};
 /// Nodes that join before this one hears of them are covered by this factor.
 constexpr double JoiningNodes = 1.25;
+/// Part of the bound on revoked keys that is left for a request on its way to
+/// an endpoint.
+constexpr double RevokeMargin = 0.05;
 
 balancing::ColdShareOptions coldOptions(const GatewayBounds &Bounds) {
   return {Bounds.ColdOverage, Bounds.ColdSlack};
@@ -36,7 +41,22 @@
       Random(std::random_device{}()), Cold(coldOptions(Settings.Bounds)),
       Retries(retryOptions(Settings.Bounds)),
       Dispatcher(Directory, Load, Health, Cold, dispatcherOptions(Settings)),
-      Pool(Context), Metrics(makeGatewayMetrics()), NextWorkId(Random()) {}
+      Pool(Context), Placement(std::make_unique<SharedPlacement>(*this)),
+      Metrics(makeGatewayMetrics()), NextWorkId(Random()) {}
+
+GatewayState::~GatewayState() = default;
+
+void GatewayState::noteOutcome(const catalog::KnownEndpoint &Which,
+                               balancing::EndpointOutcome Outcome) {
+  using balancing::EndpointOutcome;
+  Health.note(Which.Number, Outcome, now());
+  // Silence may be due to this node's own links, so it counts as a report.
+  if (Outcome == EndpointOutcome::Silent ||
+      Outcome == EndpointOutcome::Unreachable)
+    Nodes->announceSilence(Which.Entry.Id);
+  else
+    Nodes->announceOutcome(Which.Entry.Id, Outcome);
+}
 
 int GatewayState::sharingNodes() const {
   const int Possible = Nodes ? Nodes->possibleNodes() : 1;
@@ -51,6 +71,14 @@
   return std::max(1, Target->ConnectionLimit / sharingNodes());
 }
 
+bool GatewayState::knowsKeys() const {
+  if (!Settings.Bounds.RevokeFailClosed)
+    return true;
+  const auto Bound = std::chrono::duration_cast<Duration>(
+      Settings.Bounds.Revoke * (1 - RevokeMargin));
+  return OperatorFreshness.isWithin(Bound, BootClock::now());
+}
+
 void GatewayState::applyBounds() {
   Cold.setOptions(coldOptions(Settings.Bounds));
   Retries.setOptions(retryOptions(Settings.Bounds));
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -3,6 +3,7 @@
 #include "cassiashed/balancing/crash_history.h"
 #include "cassiashed/balancing/dispatcher.h"
 #include "cassiashed/balancing/retry_share.h"
+#include "cassiashed/catalog/table_freshness.h"
 #include "cassiashed/config/gateway_settings.h"
 #include "gateway/decision_log.h"
 #include "gateway/dialect.h"
@@ -15,6 +16,8 @@
 
 namespace cassiashed::gateway {
 
+class SharedPlacement;
+
 /// A content that was running on an endpoint when its connection broke. It
 /// counts as a crash if the endpoint turns out to have ended.
 struct BrokenRun {
@@ -29,6 +32,7 @@
 struct GatewayState {
   GatewayState(asio::io_context &Context, const GatewaySettings &Settings,
                const Dialect &Protocol);
+  ~GatewayState();
 
   asio::io_context &Context;
   GatewaySettings Settings;
@@ -37,6 +41,8 @@
   /// The configuration in force; null until the first one was read. Requests
   /// keep the one that they began with.
   std::shared_ptr<const catalog::ServiceConfig> Config;
+  /// How current the operator's table is, keys included.
+  catalog::TableFreshness OperatorFreshness;
   catalog::EndpointDirectory Directory;
   balancing::FleetLoad Load;
   balancing::EndpointHealth Health;
@@ -46,6 +52,7 @@
   balancing::Dispatcher Dispatcher;
   EndpointPool Pool;
   std::unique_ptr<NodeNetwork> Nodes;
+  std::unique_ptr<SharedPlacement> Placement;
   std::unique_ptr<GatewayMetrics> Metrics;
   DecisionLog Log;
   std::vector<BrokenRun> BrokenRuns;
@@ -60,6 +67,12 @@
   /// Connections that this node may hold to an endpoint: its share of what the
   /// endpoint accepts from all nodes, at least one.
   int connectionShare(const catalog::KnownEndpoint &Which) const;
+  /// Takes in how an attempt at an endpoint ended, and tells the placers.
+  void noteOutcome(const catalog::KnownEndpoint &Which,
+                   balancing::EndpointOutcome Outcome);
+  /// Whether this node knows which keys are valid: always, unless the
+  /// deployment wants keys refused where that cannot be known.
+  bool knowsKeys() const;
   /// Puts changed bounds of the settings into effect.
   void applyBounds();
   /// Confirms the broken runs of an endpoint that has ended as crashes.
