Notice rows that other nodes passed on and that got lost

Cause: a node that follows no table takes endpoint rows from datagrams. It compared its newest row with that of others, so one lost datagram was hidden by the next one and its rows were never asked for.

Change: a copy counts as complete up to the first change that it may miss; batches say which changes they cover, and nodes compare and ask for that. Nodes decide on their roles 1.4 s after the first read. Waiting requests look more often (120 a second, 50 to 500 ms apart). Refusals for others' sake have a reason of their own (costs_others), and a placer logs why it found no place.

--- a/include/cassiashed/balancing/dispatcher.h
+++ b/include/cassiashed/balancing/dispatcher.h
@@ -35,6 +35,7 @@
   NoEndpoint, ///< none is registered and in service
   AllCold,    ///< the share of every cold endpoint is used up
   AllBusy,    ///< no engine has room in time
+  CostsOthers ///< others would lose more than the request gains
 };
 std::string_view nameOf(DispatchFailure Failure);
 
--- a/include/cassiashed/balancing/recheck_pace.h
+++ b/include/cassiashed/balancing/recheck_pace.h
@@ -7,9 +7,9 @@
 struct RecheckPaceOptions {
   /// Looks per second for all waiting requests together: a look at a long
   /// prompt forecasts every engine.
-  double PerSecond = 40;
-  Duration Shortest{70};  ///< between two looks of one request
-  Duration Longest{1000}; ///< so that a freed engine does not stay idle
+  double PerSecond = 120;
+  Duration Shortest{50}; ///< between two looks of one request
+  Duration Longest{500}; ///< so that a freed engine does not stay idle
 };
 
 /// Spaces the looks that waiting requests take at the engines, so that a queue
--- a/include/cassiashed/catalog/row_mirror.h
+++ b/include/cassiashed/catalog/row_mirror.h
@@ -37,6 +37,12 @@
   /// of the store up to which the changes are complete.
   std::vector<Row> merge(std::vector<Row> Changes, std::uint64_t Version);
 
+  /// Takes in what another node passes on: all changes after version `After`
+  /// up to `UpTo`. Returns those that were news. If changes before `After` are
+  /// missing here, the copy does not count as complete up to `UpTo`.
+  std::vector<Row> mergePassedOn(std::vector<Row> Changes, std::uint64_t After,
+                                 std::uint64_t UpTo);
+
   /// Takes the whole table as of `Version`: rows that are not listed and not
   /// newer than `Version` are removed. Returns what was news.
   std::vector<Row> replaceAll(std::vector<Row> Rows, std::uint64_t Version);
@@ -46,14 +52,15 @@
 
   /// Store version up to which the copy is complete; 0: nothing read.
   std::uint64_t version() const { return Version_; }
-  /// Version of the newest row known, from whatever source.
-  std::uint64_t newestRow() const { return NewestRow_; }
+  /// Version of the newest row up to which no change is missing. Nodes compare
+  /// it: the store's own version grows with changes of other tables, too.
+  std::uint64_t completeRow() const { return CompleteRow_; }
   std::size_t size() const { return Rows_.size(); }
 
 private:
   std::map<std::string, Row> Rows_;
   std::uint64_t Version_ = 0;
-  std::uint64_t NewestRow_ = 0;
+  std::uint64_t CompleteRow_ = 0;
 };
 
 } // namespace cassiashed::catalog
--- a/src/balancing/dispatcher.cpp
+++ b/src/balancing/dispatcher.cpp
@@ -24,8 +24,8 @@
 } // namespace
 
 std::string_view nameOf(DispatchFailure Failure) {
-  static constexpr std::array<std::string_view, 4> Names = {
-      "none", "no_endpoint", "all_cold", "all_busy"};
+  static constexpr std::array<std::string_view, 5> Names = {
+      "none", "no_endpoint", "all_cold", "all_busy", "costs_others"};
   return Names[static_cast<std::size_t>(Failure)];
 }
 
--- a/src/catalog/row_mirror.cpp
+++ b/src/catalog/row_mirror.cpp
@@ -15,10 +15,21 @@
     if (Change.Removed)
       Change.Value.clear();
     Known = Change;
-    NewestRow_ = std::max(NewestRow_, Change.Version);
     News.push_back(std::move(Change));
   }
   Version_ = std::max(Version_, Version);
+  for (const auto &[Key, Known] : Rows_)
+    if (Known.Version <= Version)
+      CompleteRow_ = std::max(CompleteRow_, Known.Version);
+  return News;
+}
+
+std::vector<Row> RowMirror::mergePassedOn(std::vector<Row> Changes,
+                                          std::uint64_t After,
+                                          std::uint64_t UpTo) {
+  std::vector<Row> News = merge(std::move(Changes), 0);
+  if (CompleteRow_ >= After)
+    CompleteRow_ = std::max(CompleteRow_, UpTo);
   return News;
 }
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -253,7 +253,7 @@
     Duration Step = WaitStep;
     if (Decision.Next == balancing::Admission::Refuse) {
       Chosen = Dispatch{};
-      Chosen.Failure = balancing::DispatchFailure::AllBusy;
+      Chosen.Failure = balancing::DispatchFailure::CostsOthers;
       Chosen.RetryAfter =
           std::chrono::duration_cast<Duration>(left() * ReturnPart);
       break;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -124,7 +124,7 @@
     Events.NodeLost = [this](std::uint32_t Origin) {
       State_.Load.finishAllOf(Origin, State_.now());
     };
-    Events.EndpointRows = [this](std::vector<catalog::Row> Rows) {
+    Events.EndpointRows = [this](RowBatch Rows) {
       Rows_->takeFromPeer(catalog::Table::Endpoints, std::move(Rows));
     };
     Events.OperatorAge = [this] {
@@ -260,8 +260,6 @@
   void onRows(catalog::Table Which, const std::vector<catalog::Row> &News) {
     const bool WasReady = isReady();
     Updater_.apply(Which, News, Rows_->storeRegainedAt());
-    State_.Nodes->setRowVersions(Rows_->newestRow(catalog::Table::Operator),
-                                 Rows_->newestRow(catalog::Table::Endpoints));
     if (!WasReady && isReady())
       logEvent("ready")
           .field("config", State_.Config->Version)
--- a/src/gateway/node_messages.h
+++ b/src/gateway/node_messages.h
@@ -66,7 +66,8 @@
   std::uint32_t Format = NodeMessageFormat;
   std::string Node;
   std::uint64_t Incarnation = 0; ///< random, of the sender's process
-  std::uint64_t OperatorRow = 0; ///< newest row of each table it holds
+  /// Newest row of each table up to which the sender misses none.
+  std::uint64_t OperatorRow = 0;
   std::uint64_t EndpointRow = 0;
   /// The sender follows the endpoints' table at the store and passes news on.
   bool Following = false;
@@ -92,11 +93,14 @@
   std::vector<PlacementQuestion> Questions;
   std::vector<PlacementAnswer> Answers;
   std::vector<OutcomeNote> Outcomes;
+  /// EndpointRows are all changes after the first version up to the second.
+  std::uint64_t RowsAfter = 0;
+  std::uint64_t RowsUpTo = 0;
   MSGPACK_DEFINE(Format, Node, Incarnation, OperatorRow, EndpointRow, Following,
                  EndpointRows, Started, FirstTokens, Finished, Crashes,
                  SilentEndpoints, KnownNodes, FreshnessAskedAt,
                  FreshnessAnswerTo, OperatorAgeMs, CpuShare, KnowsWork,
-                 Questions, Answers, Outcomes)
+                 Questions, Answers, Outcomes, RowsAfter, RowsUpTo)
 };
 
 WorkStarted describeWork(const balancing::Assignment &Work);
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -191,12 +191,15 @@
     Message.Crashes.push_back(Note);
     sendToAll(Message);
   }
-  void announceEndpointRows(const std::vector<catalog::Row> &Rows) override {
+  void announceEndpointRows(const RowBatch &Batch) override {
     NodeMessage Message = makeMessage();
+    Message.RowsAfter = Batch.After;
     std::size_t Bytes = 0;
-    for (const catalog::Row &Each : Rows) {
+    for (const catalog::Row &Each : Batch.Rows) {
       if (Bytes > MaxRowBytesPerMessage) {
+        Message.RowsUpTo = Message.EndpointRows.back().Version;
         sendToAll(Message);
+        Message.RowsAfter = Message.RowsUpTo;
         Message.EndpointRows.clear();
         Bytes = 0;
       }
@@ -204,6 +207,7 @@
       Message.EndpointRows.push_back(
           {Each.Key, Each.Value, Each.Version, Each.Removed});
     }
+    Message.RowsUpTo = Batch.UpTo;
     sendToAll(Message);
   }
 
@@ -294,10 +298,11 @@
     for (const PlacementAnswer &Each : Message->Answers)
       Events_.Answer(Each);
     if (!Message->EndpointRows.empty()) {
-      std::vector<catalog::Row> Rows;
+      RowBatch Batch{Message->RowsAfter, Message->RowsUpTo, {}};
       for (const EndpointRowNews &Each : Message->EndpointRows)
-        Rows.push_back({Each.Key, Each.Value, Each.Version, Each.Removed});
-      Events_.EndpointRows(std::move(Rows));
+        Batch.Rows.push_back(
+            {Each.Key, Each.Value, Each.Version, Each.Removed});
+      Events_.EndpointRows(std::move(Batch));
     }
     noteVersions(*Message);
     if (Message->FreshnessAskedAt != 0)
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -5,6 +5,7 @@
 #include "cassiashed/base/boot_clock.h"
 #include "cassiashed/catalog/row_mirror.h"
 #include "gateway/node_messages.h"
+#include "gateway/row_messages.h"
 #include "http/message.h"
 #include <cstdint>
 #include <functional>
@@ -43,7 +44,7 @@
   /// A node was replaced or fell silent; its work ended or goes unreported.
   std::function<void(std::uint32_t Origin)> NodeLost;
   /// Rows of the endpoints' table that a node read from the store.
-  std::function<void(std::vector<catalog::Row>)> EndpointRows;
+  std::function<void(RowBatch)> EndpointRows;
   /// Age of this node's copy of the operator's table; nothing if unknown.
   std::function<std::optional<Duration>()> OperatorAge;
   /// A node that holds no newer row of the operator's table says how old its
@@ -65,7 +66,7 @@
   virtual void addNode(const std::string &Name, const std::string &Host,
                        double CpuShare) = 0;
   virtual void removeNode(const std::string &Name) = 0;
-  /// Newest rows that this node holds; sent with every message.
+  /// Newest rows up to which this node misses none; sent with every message.
   virtual void setRowVersions(std::uint64_t OperatorRow,
                               std::uint64_t EndpointRow) = 0;
   /// Whether some nodes have roles for all: they follow tables at the store
@@ -109,7 +110,7 @@
   /// Only placers hear of it; nodes of a small fleet judge for themselves.
   virtual void announceOutcome(const std::string &EndpointId,
                                balancing::EndpointOutcome Outcome) = 0;
-  virtual void announceEndpointRows(const std::vector<catalog::Row> &Rows) = 0;
+  virtual void announceEndpointRows(const RowBatch &Batch) = 0;
 
   /// Nodes that may be running, this one included: known by name or heard.
   virtual int possibleNodes() const = 0;
--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -20,10 +20,11 @@
 constexpr double ConfirmPart = 0.2;
 /// A read that only confirms what is known, or that the store is back.
 constexpr Duration NoWait{1};
-/// Reading the nodes' table takes some calls of the store.
-constexpr Duration JoinTime{100};
+/// Until it is known whether the fleet is large: the processes of a deployment
+/// start within 0.3 s and read the nodes' table after they wrote their own row.
+constexpr Duration JoinTime{800};
 /// Nodes with a role say so each 400 ms.
-constexpr Duration RoleTime{1000};
+constexpr Duration RoleTime{600};
 /// Changes of the configuration within this time are read with one call.
 constexpr Duration OperatorPause{200};
 /// How often a node that does not follow a table checks whether it should.
@@ -61,15 +62,16 @@
                    asio::detached);
   }
 
-  void takeFromPeer(Table Which, std::vector<Row> Rows) override {
-    report(Which, mirror(Which).merge(std::move(Rows), 0), "peer");
+  void takeFromPeer(Table Which, RowBatch Batch) override {
+    report(Which,
+           mirror(Which).mergePassedOn(std::move(Batch.Rows), Batch.After,
+                                       Batch.UpTo),
+           "peer");
   }
 
-  std::vector<Row> rowsAfter(Table Which, std::uint64_t After) const override {
-    return mirror(Which).changesAfter(After);
-  }
-  std::uint64_t newestRow(Table Which) const override {
-    return mirror(Which).newestRow();
+  RowBatch rowsAfter(Table Which, std::uint64_t After) const override {
+    return {After, mirror(Which).completeRow(),
+            mirror(Which).changesAfter(After)};
   }
   bool hasRead(Table Which) const override { return mirror(Which).size() > 0; }
   bool storeAnswers() const override { return Answers_; }
@@ -173,6 +175,7 @@
 
   void take(Table Which, StoreRows &Result, bool ReadAll, BootTime SentAt) {
     const std::optional<Duration> StoreTime = Result.StoreTime;
+    const std::uint64_t Before = mirror(Which).completeRow();
     const std::vector<Row> News =
         ReadAll
             ? mirror(Which).replaceAll(std::move(Result.Rows), Result.Version)
@@ -181,18 +184,20 @@
     if (Which == Table::Operator)
       State_.OperatorFreshness.noteStoreAnswer(SentAt, BootClock::now(),
                                                StoreTime);
-    if (Which == Table::Endpoints && !News.empty())
-      State_.Nodes->announceEndpointRows(News);
+    if (Which == Table::Endpoints && mirror(Which).completeRow() > Before)
+      State_.Nodes->announceEndpointRows(rowsAfter(Which, Before));
   }
 
   void report(Table Which, const std::vector<Row> &News,
               std::string_view Source) {
+    State_.Nodes->setRowVersions(mirror(Table::Operator).completeRow(),
+                                 mirror(Table::Endpoints).completeRow());
     if (News.empty())
       return;
     State_.Log.write("rows_read", State_.now(), [&](LogLine &Line) {
       Line.field("table", nameOf(Which))
           .field("rows", News.size())
-          .field("newest", mirror(Which).newestRow())
+          .field("complete", mirror(Which).completeRow())
           .field("source", Source);
     });
     Notify_(Which, News);
@@ -221,15 +226,15 @@
     http::Request Call;
     Call.Method = "GET";
     Call.Target = "/rows/" + std::string(nameOf(Which)) +
-                  "?after=" + std::to_string(mirror(Which).newestRow());
+                  "?after=" + std::to_string(mirror(Which).completeRow());
     const std::string From = Peer.Host;
     std::optional<http::Response> Reply = co_await http::fetch(
         std::move(Peer), Call, PeerReadLimit, nullptr, PeerReadBytes);
     std::string Reason = "no answer";
-    std::optional<std::vector<Row>> Rows;
+    std::optional<RowBatch> Batch;
     if (Reply && Reply->Status == 200)
-      Rows = unpackRows(Reply->Body, Reason);
-    if (!Rows) {
+      Batch = unpackRows(Reply->Body, Reason);
+    if (!Batch) {
       logWarning("peer_rows_failed")
           .field("peer", From)
           .field("table", nameOf(Which))
@@ -238,7 +243,8 @@
     }
     // The store's own version is not advanced: its feed repeats these rows,
     // which are then known.
-    const std::vector<Row> News = mirror(Which).merge(std::move(*Rows), 0);
+    const std::vector<Row> News = mirror(Which).mergePassedOn(
+        std::move(Batch->Rows), Batch->After, Batch->UpTo);
     report(Which, News, From);
   }
 
--- a/src/gateway/row_follower.h
+++ b/src/gateway/row_follower.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/gateway_state.h"
+#include "gateway/row_messages.h"
 #include "gateway/store_client.h"
 #include <functional>
 #include <memory>
@@ -23,13 +24,10 @@
   /// Reads the newer rows of a table from another node.
   virtual void fetchFrom(catalog::Table Which, http::Address Peer) = 0;
   /// Rows that another node has read from the store.
-  virtual void takeFromPeer(catalog::Table Which,
-                            std::vector<catalog::Row> Rows) = 0;
+  virtual void takeFromPeer(catalog::Table Which, RowBatch Rows) = 0;
   /// Rows of a table newer than `After`, for other nodes.
-  virtual std::vector<catalog::Row> rowsAfter(catalog::Table Which,
-                                              std::uint64_t After) const = 0;
-  /// Version of the newest row of the table, from whatever source.
-  virtual std::uint64_t newestRow(catalog::Table Which) const = 0;
+  virtual RowBatch rowsAfter(catalog::Table Which,
+                             std::uint64_t After) const = 0;
   /// Whether the table was read at least once.
   virtual bool hasRead(catalog::Table Which) const = 0;
   /// Whether the store answered the last call for the table.
--- a/src/gateway/row_messages.cpp
+++ b/src/gateway/row_messages.cpp
@@ -14,28 +14,34 @@
   MSGPACK_DEFINE(Key, Value, Version, Removed)
 };
 
+struct BatchMessage {
+  std::uint64_t After = 0;
+  std::uint64_t UpTo = 0;
+  std::vector<RowMessage> Rows;
+  MSGPACK_DEFINE(After, UpTo, Rows)
+};
+
 } // namespace
 
-std::string packRows(const std::vector<catalog::Row> &Rows) {
-  std::vector<RowMessage> Messages;
-  Messages.reserve(Rows.size());
-  for (const catalog::Row &Each : Rows)
-    Messages.push_back({Each.Key, Each.Value, Each.Version, Each.Removed});
-  return pack(Messages);
+std::string packRows(const RowBatch &Batch) {
+  BatchMessage Message{Batch.After, Batch.UpTo, {}};
+  Message.Rows.reserve(Batch.Rows.size());
+  for (const catalog::Row &Each : Batch.Rows)
+    Message.Rows.push_back({Each.Key, Each.Value, Each.Version, Each.Removed});
+  return pack(Message);
 }
 
-std::optional<std::vector<catalog::Row>> unpackRows(std::string_view Bytes,
-                                                    std::string &Reason) {
-  std::optional<std::vector<RowMessage>> Messages =
-      unpack<std::vector<RowMessage>>(Bytes, Reason);
-  if (!Messages)
+std::optional<RowBatch> unpackRows(std::string_view Bytes,
+                                   std::string &Reason) {
+  std::optional<BatchMessage> Message = unpack<BatchMessage>(Bytes, Reason);
+  if (!Message)
     return std::nullopt;
-  std::vector<catalog::Row> Rows;
-  Rows.reserve(Messages->size());
-  for (RowMessage &Each : *Messages)
-    Rows.push_back({std::move(Each.Key), std::move(Each.Value), Each.Version,
-                    Each.Removed});
-  return Rows;
+  RowBatch Batch{Message->After, Message->UpTo, {}};
+  Batch.Rows.reserve(Message->Rows.size());
+  for (RowMessage &Each : Message->Rows)
+    Batch.Rows.push_back({std::move(Each.Key), std::move(Each.Value),
+                          Each.Version, Each.Removed});
+  return Batch;
 }
 
 } // namespace cassiashed::gateway
--- a/src/gateway/row_messages.h
+++ b/src/gateway/row_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cassiashed/catalog/row_mirror.h"
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -9,9 +10,15 @@
 /// Rows of a table as one node sends them to another.
 namespace cassiashed::gateway {
 
-std::string packRows(const std::vector<catalog::Row> &Rows);
+/// All changes after version `After`, up to `UpTo`.
+struct RowBatch {
+  std::uint64_t After = 0;
+  std::uint64_t UpTo = 0;
+  std::vector<catalog::Row> Rows;
+};
+
+std::string packRows(const RowBatch &Batch);
 /// Nothing and a reason for bytes that hold no rows.
-std::optional<std::vector<catalog::Row>> unpackRows(std::string_view Bytes,
-                                                    std::string &Reason);
+std::optional<RowBatch> unpackRows(std::string_view Bytes, std::string &Reason);
 
 } // namespace cassiashed::gateway
--- a/src/gateway/shared_placement.cpp
+++ b/src/gateway/shared_placement.cpp
@@ -10,6 +10,9 @@
 /// An answer that is used later than this says nothing about the engines: the
 /// process was frozen meanwhile.
 constexpr Duration AnswerAge{500};
+/// Doubt from which an engine is counted in the log of a failed placement: it
+/// does not help with prompts of others any more.
+constexpr double DoubtToLog = 0.3;
 
 PlacementQuestion describe(const balancing::DispatchRequest &Wanted,
                            const PlacementContext &Context) {
@@ -122,6 +125,33 @@
   State_.Nodes->answer(Host, decide(Question, Host, Origin));
 }
 
+void SharedPlacement::logFailure(const balancing::DispatchRequest &Wanted,
+                                 const balancing::Dispatch &Chosen,
+                                 TimePoint Now) {
+  State_.Log.write("placement_failed", Now, [&](LogLine &Line) {
+    const engine::EngineSpec &Spec = *Wanted.Target->Engine;
+    std::size_t Engines = 0;
+    std::size_t Doubtful = 0;
+    double FreeTokens = 0;
+    for (const catalog::EndpointRef &Each :
+         State_.Directory.usable(Wanted.Target->Name)) {
+      ++Engines;
+      if (State_.Health.doubt(Each->Number, Now) >= DoubtToLog)
+        ++Doubtful;
+      FreeTokens += std::max(
+          0.0, Spec.MemoryTokens -
+                   State_.Load.timeline(Each->Entry.Id, Spec).memoryInUse());
+    }
+    Line.field("work", Wanted.Work.Id)
+        .field("failure", balancing::nameOf(Chosen.Failure))
+        .field("prompt_tokens", Wanted.Work.PromptTokens)
+        .field("left_ms", static_cast<int>(Wanted.Work.DeadlineMs))
+        .field("engines", Engines)
+        .field("doubtful", Doubtful)
+        .field("free_tokens", FreeTokens);
+  });
+}
+
 PlacementAnswer SharedPlacement::decide(const PlacementQuestion &Question,
                                         const std::string &Host,
                                         std::uint32_t Origin) {
@@ -148,8 +178,10 @@
       State_.Dispatcher.choose(Wanted, Now, State_.Random);
   Answer.Failure = static_cast<std::uint32_t>(Chosen.Failure);
   Answer.RetryAfterMs = static_cast<double>(Chosen.RetryAfter.count());
-  if (Chosen.Endpoints.empty())
+  if (Chosen.Endpoints.empty()) {
+    logFailure(Wanted, Chosen, Now);
     return Answer;
+  }
   Answer.FirstTokenMs = Chosen.FirstTokenMs;
   Answer.LossToOthers = Chosen.LossToOthers;
   Answer.LossToLater = Chosen.LossToLater;
--- a/src/gateway/shared_placement.h
+++ b/src/gateway/shared_placement.h
@@ -63,6 +63,9 @@
                                           const std::string &Placer) const;
 
   GatewayState &State_;
+  /// Says what stood against a placement.
+  void logFailure(const balancing::DispatchRequest &Wanted,
+                  const balancing::Dispatch &Chosen, TimePoint Now);
   balancing::RecheckPace Pace_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Open>> Open_;
 };
