Let one follower of a large fleet pass endpoint rows on

Cause: all four followers sent every change of the endpoints' table to every node.

Change: the first follower passes changes on; nodes that miss some hear of it from the heartbeats of the four and ask one of them.

--- a/include/cassiashed/base/boot_clock.h
+++ b/include/cassiashed/base/boot_clock.h
@@ -11,7 +11,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
   static time_point now();
 };
 using BootTime = BootClock::time_point;
--- a/src/balancing/placer_ranking_test.cpp
+++ b/src/balancing/placer_ranking_test.cpp
@@ -18,6 +18,7 @@
 
 std::vector<std::string> hostsOf(const std::vector<PlacerCandidate> &From) {
   std::vector<std::string> Result;
+  Result.reserve(From.size());
   for (const PlacerCandidate &Each : From)
     Result.push_back(Each.Host);
   return Result;
--- a/src/catalog/table_freshness.cpp
+++ b/src/catalog/table_freshness.cpp
@@ -56,7 +56,8 @@
                     Duration SinceAsked, Duration SinceRead,
                     const RefreshOptions &Options) {
   const auto IsOver = [Bound](Duration Value, double Part) {
-    return Value.count() >= static_cast<double>(Bound.count()) * Part;
+    return static_cast<double>(Value.count()) >=
+           static_cast<double>(Bound.count()) * Part;
   };
   const bool MayRead = IsOver(SinceRead, Options.ReadPeriod);
   if (MayRead && (!Age || IsOver(*Age, Options.ReadFrom)))
--- a/src/gateway/peer_table.cpp
+++ b/src/gateway/peer_table.cpp
@@ -75,6 +75,7 @@
 
 std::vector<const Peer *> PeerTable::best(std::size_t Count) const {
   std::vector<const Peer *> Result;
+  Result.reserve(Peers_.size());
   for (const auto &[Host, Entry] : Peers_)
     Result.push_back(&Entry);
   const std::size_t Kept = std::min(Count, Result.size());
--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -184,7 +184,12 @@
     if (Which == Table::Operator)
       State_.OperatorFreshness.noteStoreAnswer(SentAt, BootClock::now(),
                                                StoreTime);
-    if (Which == Table::Endpoints && mirror(Which).completeRow() > Before)
+    // In a large fleet one follower passes news on; nodes that miss some hear
+    // of it from the others' heartbeats.
+    const bool PassesOn =
+        !State_.Nodes->hasRoles() || State_.Nodes->isFirstFollower();
+    if (Which == Table::Endpoints && PassesOn &&
+        mirror(Which).completeRow() > Before)
       State_.Nodes->announceEndpointRows(rowsAfter(Which, Before));
   }
 
