Let every node follow the operator's table below 100 nodes

Cause: four followers read the operator's table for all from 24 nodes on.

Change: below 100 nodes every node follows the operator's table as before; above, followers' calls wait for one second, so that silence is noticed after 2.5 s instead of 21.5 s (bound there: 4 s).

--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -15,6 +15,13 @@
 /// priced; a connection that went silent is noticed after this time at the
 /// latest, and earlier through the versions that other nodes report.
 constexpr Duration FollowWait{20000};
+/// Nodes from which on a few followers read the operator's table for all. Below
+/// it every node does: followers that a silent store turns away would hold up
+/// a change for all until their calls time out.
+constexpr int OperatorFollowersFrom = 100;
+/// How long the store holds a call of such a follower open, so that a silent
+/// one is noticed within the bounds on configurations.
+constexpr Duration FollowerWait{1000};
 /// Where keys are refused that nobody can vouch for, one node hears from the
 /// store this often, in parts of the bound; the others ask it.
 constexpr double ConfirmPart = 0.2;
@@ -133,8 +140,14 @@
       co_await http::sleepFor(RoleTime);
   }
 
+  bool hasOperatorFollowers() const {
+    return State_.Nodes->possibleNodes() >= OperatorFollowersFrom;
+  }
+
   Duration followWait(Table Which) const {
     const GatewayBounds &Bounds = State_.Settings.Bounds;
+    if (Which == Table::Operator && hasOperatorFollowers())
+      return FollowerWait;
     if (Which == Table::Operator && Bounds.RevokeFailClosed &&
         State_.Nodes->isFirstFollower())
       return std::chrono::duration_cast<Duration>(Bounds.Revoke * ConfirmPart);
@@ -165,7 +178,7 @@
   /// changes often; a few nodes follow it and pass the changes on. In a large
   /// fleet the same goes for the operator's table, which all read at once.
   bool mayFollow(Table Which) {
-    if (Which != Table::Endpoints && !State_.Nodes->hasRoles())
+    if (Which != Table::Endpoints && !hasOperatorFollowers())
       return true;
     const bool Should = State_.Nodes->shouldFollow();
     if (!Should)
