--- a/include/cassiashed/balancing/dispatcher.h
+++ b/include/cassiashed/balancing/dispatcher.h
@@ -51,6 +51,9 @@
   Duration RetryAfter{0}; ///< when a refused request should come back
 };
 
+/// Doubt above which an endpoint does not help with prompts of others.
+inline constexpr double MaxHelperDoubt = 0.3;
+
 struct DispatcherOptions {
   std::string Zone; ///< of this node
   std::map<std::string, std::string> RegionOfZone;
--- a/src/balancing/dispatcher.cpp
+++ b/src/balancing/dispatcher.cpp
@@ -18,8 +18,6 @@
 /// Load that one unit of doubt about an endpoint counts as, in requests per
 /// slot.
 constexpr double DoubtAsLoad = 2;
-/// Doubt above which an endpoint does not help with prompts of others.
-constexpr double MaxHelperDoubt = 0.3;
 
 } // namespace
 
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -129,10 +129,7 @@
   if (Peer->ColdUntil > Now && !IsCounted_)
     State_.Cold.noteSent(Peer->Number, Now);
   SentAt_ = Now;
-  State_.Health.noteSent(
-      Peer->Number,
-      Duration(static_cast<Duration::rep>(std::min(1e6, Chosen.FirstTokenMs))),
-      Now);
+  State_.expectFirstToken(*Peer, Chosen.FirstTokenMs);
   State_.Log.write("attempt_sent", Now, [&](LogLine &Line) {
     Line.field("id", Head_.AttemptId)
         .field("attempt", Sends_)
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -13,6 +13,9 @@
 constexpr Duration CrashWindow{6000};
 /// Nodes that join before this one hears of them are covered by this factor.
 constexpr double JoiningNodes = 1.25;
+/// Predictions of first tokens that never come are cut to this before they
+/// become a duration.
+constexpr double LongestExpectationMs = 1e6;
 /// Part of the bound on revoked keys that is left for a request on its way to
 /// an endpoint.
 constexpr double RevokeMargin = 0.05;
@@ -46,6 +49,13 @@
 
 GatewayState::~GatewayState() = default;
 
+void GatewayState::expectFirstToken(const catalog::KnownEndpoint &Which,
+                                    double FirstTokenMs) {
+  const double Bounded = std::min(LongestExpectationMs, FirstTokenMs);
+  Health.noteSent(Which.Number, Duration(static_cast<Duration::rep>(Bounded)),
+                  now());
+}
+
 void GatewayState::noteOutcome(const catalog::KnownEndpoint &Which,
                                balancing::EndpointOutcome Outcome) {
   using balancing::EndpointOutcome;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -67,6 +67,9 @@
   /// Connections that this node may hold to an endpoint: its share of what the
   /// endpoint accepts from all nodes, at least one.
   int connectionShare(const catalog::KnownEndpoint &Which) const;
+  /// A request was sent whose first token is predicted `FirstTokenMs` from now.
+  void expectFirstToken(const catalog::KnownEndpoint &Which,
+                        double FirstTokenMs);
   /// Takes in how an attempt at an endpoint ended, and tells the placers.
   void noteOutcome(const catalog::KnownEndpoint &Which,
                    balancing::EndpointOutcome Outcome);
--- a/src/gateway/shared_placement.cpp
+++ b/src/gateway/shared_placement.cpp
@@ -10,9 +10,6 @@
 /// An answer that is used later than this says nothing about the engines: the
 /// process was frozen meanwhile.
 constexpr Duration AnswerAge{500};
-/// Doubt from which an engine is counted in the log of a failed placement: it
-/// does not help with prompts of others any more.
-constexpr double DoubtToLog = 0.3;
 
 PlacementQuestion describe(const balancing::DispatchRequest &Wanted,
                            const PlacementContext &Context) {
@@ -136,7 +133,7 @@
     for (const catalog::EndpointRef &Each :
          State_.Directory.usable(Wanted.Target->Name)) {
       ++Engines;
-      if (State_.Health.doubt(Each->Number, Now) >= DoubtToLog)
+      if (State_.Health.doubt(Each->Number, Now) >= balancing::MaxHelperDoubt)
         ++Doubtful;
       FreeTokens += std::max(
           0.0, Spec.MemoryTokens -
@@ -212,10 +209,7 @@
     State_.Cold.noteSent(Writer->Number, Now);
   State_.Load.assign(Work, Now);
   State_.Nodes->announceStart(Work, Host);
-  State_.Health.noteSent(
-      Writer->Number,
-      Duration(static_cast<Duration::rep>(std::min(1e6, Chosen.FirstTokenMs))),
-      Now);
+  State_.expectFirstToken(*Writer, Chosen.FirstTokenMs);
   State_.Log.write("request_placed", Now, [&](LogLine &Line) {
     Line.field("work", Question.Id)
         .field("requester", Host)
