Refuse answers of placers with values out of range

Kinds of decisions and failures came off the wire as numbers and were cast to their enumerations; a forged failure was then looked up past the end of the table of names.

Test: gateway_parts_test, failed before.

--- a/src/gateway/gateway_parts_test.cpp
+++ b/src/gateway/gateway_parts_test.cpp
@@ -98,6 +98,28 @@
   CHECK(Rows->Rows.front().Removed);
 }
 
+// Guards against a forged answer whose failure has no name: looking it up read
+// past the table of names.
+TEST_CASE("answers of placers with values out of range are refused") {
+  std::string Reason;
+  NodeMessage Message;
+  Message.Answers.resize(1);
+  PlacementAnswer &Answer = Message.Answers.front();
+  CHECK(unpackMessage(packMessage(Message), Reason));
+  Answer.Failure = 77;
+  CHECK_FALSE(unpackMessage(packMessage(Message), Reason));
+  CHECK_FALSE(Reason.empty());
+  Answer = {};
+  Answer.Next = 3;
+  CHECK_FALSE(unpackMessage(packMessage(Message), Reason));
+  Answer = {};
+  Answer.RetryAfterMs = -1;
+  CHECK_FALSE(unpackMessage(packMessage(Message), Reason));
+  Answer = {};
+  Answer.LookAgainMs = 1e300;
+  CHECK_FALSE(unpackMessage(packMessage(Message), Reason));
+}
+
 TEST_CASE("no bytes make the decoders of node messages fail") {
   std::string Why;
   // An array of 1.6 billion entries in five bytes ended the process.
--- a/src/gateway/node_messages.cpp
+++ b/src/gateway/node_messages.cpp
@@ -1,8 +1,26 @@
 #include "gateway/node_messages.h"
 
 #include "gateway/packed.h"
+#include <algorithm>
 
 namespace cassiashed::gateway {
+namespace {
+
+/// Above every time that a request can have, and below what a duration holds.
+constexpr double LongestMs = 1e9;
+
+/// Whether the fields can be taken for what they stand for. They may come from
+/// anyone who reaches the port.
+bool isInRange(const PlacementAnswer &Answer) {
+  const auto IsTime = [](double Ms) { return Ms >= 0 && Ms <= LongestMs; };
+  return Answer.Next <=
+             static_cast<std::uint32_t>(balancing::Admission::Refuse) &&
+         Answer.Failure <= static_cast<std::uint32_t>(
+                               balancing::DispatchFailure::CostsOthers) &&
+         IsTime(Answer.RetryAfterMs) && IsTime(Answer.LookAgainMs);
+}
+
+} // namespace
 
 WorkStarted describeWork(const balancing::Assignment &Work) {
   WorkStarted Message;
@@ -51,6 +69,11 @@
     Reason = "format " + std::to_string(Message->Format) + " is not supported";
     return std::nullopt;
   }
+  if (Message && !std::all_of(Message->Answers.begin(), Message->Answers.end(),
+                              isInRange)) {
+    Reason = "an answer of a placer is out of range";
+    return std::nullopt;
+  }
   return Message;
 }
 
