Log gaps between rows and datagrams that the system does not take

Change: events rows_gap, rows_missing and messages_unsent, gauge cassiashed_messages_unsent. No decision changes.

--- a/include/cassiashed/catalog/row_mirror.h
+++ b/include/cassiashed/catalog/row_mirror.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// A local copy of rows of the platform's store.
@@ -15,6 +16,7 @@
   Nodes,     ///< addresses of the nodes
 };
 inline constexpr int TableCount = 3;
+std::string_view nameOf(Table Which);
 
 struct Row {
   std::string Key;
--- a/src/catalog/row_mirror.cpp
+++ b/src/catalog/row_mirror.cpp
@@ -1,10 +1,17 @@
 #include "cassiashed/catalog/row_mirror.h"
 
 #include <algorithm>
+#include <array>
 #include <set>
 
 namespace cassiashed::catalog {
 
+std::string_view nameOf(Table Which) {
+  static constexpr std::array<std::string_view, TableCount> Names = {
+      "operator", "endpoints", "nodes"};
+  return Names[static_cast<std::size_t>(Which)];
+}
+
 std::vector<Row> RowMirror::merge(std::vector<Row> Changes,
                                   std::uint64_t Version) {
   std::vector<Row> News;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -397,6 +397,8 @@
                      static_cast<double>(State_.Load.assignmentCount()));
     Metrics.setGauge("live_nodes", State_.Nodes->liveNodes());
     Metrics.setGauge("possible_nodes", State_.Nodes->possibleNodes());
+    Metrics.setGauge("messages_unsent",
+                     static_cast<double>(State_.Nodes->unsentMessages()));
     Metrics.setGauge("store_answers", Rows_->storeAnswers() ? 1 : 0);
     Metrics.setGauge("ready", isReady() ? 1 : 0);
     const auto Age = State_.OperatorFreshness.age(BootClock::now());
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -55,6 +55,14 @@
 /// Freshness questions whose answers are still taken.
 constexpr std::size_t OpenFreshnessQuestions = 8;
 
+/// Messages that the system did not take, and what was logged of them.
+struct Unsent {
+  std::uint64_t Total = 0;
+  std::uint64_t SinceLogged = 0;
+  std::size_t LastBytes = 0;
+  std::string LastReason;
+};
+
 class Network final : public NodeNetwork {
 public:
   Network(asio::io_context &Context, NodeNetworkOptions Options,
@@ -213,6 +221,7 @@
 
   int possibleNodes() const override { return Peers_.possibleCount(); }
   int liveNodes() const override { return Peers_.liveCount(now()); }
+  std::uint64_t unsentMessages() const override { return Unsent_.Total; }
 
 private:
   static TimePoint now() { return std::chrono::steady_clock::now(); }
@@ -385,6 +394,10 @@
         Newest = std::max(Newest, Entry.*Row);
     if (Newest <= Own)
       return;
+    logEvent("rows_missing")
+        .field("table", catalog::nameOf(Which))
+        .field("complete", Own)
+        .field("newest", Newest);
     std::vector<const Peer *> Holders;
     for (const auto &[Host, Entry] : Peers_.all())
       if (PeerTable::isLive(Entry, Now) && Entry.*Row == Newest)
@@ -402,6 +415,7 @@
 
   void beat() {
     const TimePoint Now = now();
+    logUnsent();
     for (auto &[Host, Entry] : Peers_.all())
       if (Entry.WasHeard && !Entry.Lost && !PeerTable::isLive(Entry, Now))
         loseNode(Entry);
@@ -525,9 +539,27 @@
         send(Bytes, Entry.Where);
   }
 
+  /// A message that is lost is made up for by the next one, but has to show.
   void send(const std::string &Bytes, const Udp::endpoint &Where) {
-    Code Ignored; // a hint that is lost is made up for by the next one
-    Socket_.send_to(asio::buffer(Bytes), Where, 0, Ignored);
+    Code Failure;
+    Socket_.send_to(asio::buffer(Bytes), Where, 0, Failure);
+    if (!Failure)
+      return;
+    ++Unsent_.Total;
+    ++Unsent_.SinceLogged;
+    Unsent_.LastBytes = Bytes.size();
+    Unsent_.LastReason = Failure.message();
+  }
+
+  void logUnsent() {
+    if (Unsent_.SinceLogged == 0)
+      return;
+    logWarning("messages_unsent")
+        .field("count", Unsent_.SinceLogged)
+        .field("total", Unsent_.Total)
+        .field("last_bytes", Unsent_.LastBytes)
+        .field("reason", Unsent_.LastReason);
+    Unsent_.SinceLogged = 0;
   }
 
   NodeNetworkOptions Options_;
@@ -545,6 +577,7 @@
   bool Following_ = false;
   std::uint64_t OperatorRow_ = 0;
   std::uint64_t EndpointRow_ = 0;
+  Unsent Unsent_;
   NodeMessage Work_;                             ///< collected notes about work
   std::deque<std::uint64_t> FreshnessQuestions_; ///< stamps of the latest ones
   std::minstd_rand Random_{std::random_device{}()};
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -116,6 +116,8 @@
   virtual int possibleNodes() const = 0;
   /// Nodes heard lately, this one included.
   virtual int liveNodes() const = 0;
+  /// Messages since the start that the system did not take.
+  virtual std::uint64_t unsentMessages() const = 0;
 };
 
 /// Returns null and sets `Reason` if the address cannot be used.
--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -42,12 +42,7 @@
 /// Another node's rows of one table: some hundred of at most 64 KiB.
 constexpr std::size_t PeerReadBytes = 16 * 1024 * 1024;
 
-constexpr std::array<std::string_view, catalog::TableCount> TableNames = {
-    "operator", "endpoints", "nodes"};
-
-std::string_view nameOf(Table Which) {
-  return TableNames[static_cast<std::size_t>(Which)];
-}
+using catalog::nameOf;
 
 class Follower final : public RowFollower {
 public:
@@ -70,6 +65,14 @@
   }
 
   void takeFromPeer(Table Which, RowBatch Batch) override {
+    const std::uint64_t Complete = mirror(Which).completeRow();
+    if (Batch.After > Complete)
+      State_.Log.write("rows_gap", State_.now(), [&](LogLine &Line) {
+        Line.field("table", nameOf(Which))
+            .field("complete", Complete)
+            .field("after", Batch.After)
+            .field("up_to", Batch.UpTo);
+      });
     report(Which,
            mirror(Which).mergePassedOn(std::move(Batch.Rows), Batch.After,
                                        Batch.UpTo),
