--- a/tests/process/gateway_test.py
+++ b/tests/process/gateway_test.py
@@ -390,6 +390,35 @@
         self.store.remove("op", "evacuate/za")
         self.wait_for(lambda: self.call("/get/x")[0] == 200, "the zone is back")
 
+    # Guards against a leaving that nobody reports: all who follow the endpoints wait for answers of a store that
+    # has forgotten them.
+    @unittest.expectedFailure
+    def test_forgotten_polls_do_not_hide_a_leaving_replica(self):
+        time.sleep(1.5)  # the long polls have begun
+        self.store.forget_polls()
+        self.store.put("servers", "app-0", self.app[0].entry("app", "draining"))
+        time.sleep(2)  # the drain bound
+        self.app[0].requests = []
+        for _ in range(20):
+            self.assertEqual(self.call("/get/x")[0], 200)
+        self.assertEqual(len(self.app[0].requests), 0)
+
+    # Guards against a prompt that is read by a helper which left while its memory was reserved.
+    @unittest.expectedFailure
+    def test_a_helper_that_leaves_before_the_send_gets_no_work(self):
+        for each in self.llm:
+            each.order_pause = 0.3
+        result = []
+        sending = threading.Thread(target=lambda: result.append(self.call(
+            "/stream/x", "POST", b"prompt", deadline_ms=20000, **{"Token-Counts": "300000,700"})))
+        sending.start()
+        self.wait_for(lambda: any(each.orders for each in self.llm), "memory is reserved")
+        (helper,) = (each for each in self.llm if each.orders)
+        self.store.put("servers", helper.identity, helper.entry("llm", "draining"))
+        sending.join()
+        self.assertEqual([request for request in self.requests(self.llm) if "helpers" in request["fields"]], [])
+        self.wait_for(lambda: "release" in self.order_names(helper), "the release")
+
     # Keys that may have been taken away.
 
     FAIL_CLOSED = "revoke_fail_closed = yes\nrevoke_ms = 1500\n"
--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -38,6 +38,7 @@
         # Memory: orders as received, the state of every reservation in reports
         # ("held", "used"), and whether reports are answered at all.
         self.orders, self.reservation_state, self.reports = [], "used", True
+        self.order_pause = 0  # seconds before an order is answered
         self.event_pause = 0.02
         self.sent_without_end = 0  # bytes, by the behaviours that never end
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
@@ -86,6 +87,7 @@
     def _answer_engine_call(self, connection, target, body):
         if target == "/order":
             self.orders.append(json.loads(body))
+            time.sleep(self.order_pause)
         elif not self.reports:
             return
         held = {order["id"] for order in self.orders if order["operation"] == "reserve"}
--- a/tests/standins/users_platform/store.py
+++ b/tests/standins/users_platform/store.py
@@ -13,6 +13,8 @@
 
     def __init__(self):
         self.mode = "ok"
+        self._forgotten_polls = 0
+        self._polls = 0
         self._rows = {}
         self._version = 0
         self._forgotten = 0
@@ -57,10 +59,19 @@
             self._forgotten = self._version
             self._changed.notify_all()
 
+    def forget_polls(self):
+        """Long polls that wait now keep their connection and get no answer."""
+        with self._changed:
+            self._forgotten_polls = self._polls
+
     def close(self):
         self._server.shutdown()
         self._server.server_close()
 
+    @staticmethod
+    def _now_ms():
+        return int(time.monotonic() * 1000)
+
     def _describe(self, table, key, row):
         result = {"table": table, "part": "", "key": key, "rowVersion": row["version"]}
         if row["gone"]:
@@ -90,7 +101,8 @@
         if url.path == "/rows-get":
             with self._changed:
                 rows = sorted(self._select(query["table"], 0, False), key=lambda r: r["key"])
-                self._reply(call, 200, {"rows": rows, "morePages": False, "rowVersion": self._version})
+                self._reply(call, 200, {"rows": rows, "morePages": False, "rowVersion": self._version,
+                                        "nowMs": self._now_ms()})
         elif url.path == "/rows-feed":
             self._follow(call, query)
         elif url.path == "/rows-tx":
@@ -104,14 +116,21 @@
         after = int(query["afterRevision"])
         end = time.monotonic() + int(query["waitMs"]) / 1000
         with self._changed:
+            self._polls += 1
+            number = self._polls
             while True:
+                if number <= self._forgotten_polls:
+                    self._changed.release()
+                    time.sleep(60)
+                    self._changed.acquire()
+                    return
                 if after < self._forgotten:
                     status, answer = 410, {}
                     break
                 rows = self._select(query["table"], after, True)
                 left = end - time.monotonic()
                 if rows or left <= 0:
-                    status, answer = 200, {"rows": rows, "rowVersion": self._version}
+                    status, answer = 200, {"rows": rows, "rowVersion": self._version, "nowMs": self._now_ms()}
                     break
                 self._changed.wait(left)
         if self.mode == "busy":
