Count a copy of a table as complete only with proof

Cause: a node that has read the whole table cannot name the rows that were removed before, and passed the rest on as all changes after the asker's version; the asker counted itself complete and kept the removed endpoint. A late datagram could bring a removed row back in such a copy. Change: RowMirror keeps RowCoverage; a batch from before the sender's whole read carries the whole table (RowBatch::Whole); rows of answers that are older than the copy are dropped; rows read whole are announced without a link to earlier ones. Signatures in catalog_test changed, its assertions did not.

--- a/src/catalog/catalog_test.cpp
+++ b/src/catalog/catalog_test.cpp
@@ -79,7 +79,7 @@
           *rc::gen::inRange<int>(0, static_cast<int>(Order.size())));
       const std::uint64_t Version = Order[Index].Version;
       const std::uint64_t Before = Mirror.completeRow();
-      (void)Mirror.mergePassedOn({Order[Index]}, Version - 1, Version);
+      (void)Mirror.mergePassedOn({Version - 1, Version, {Order[Index]}});
       // A gap keeps the copy incomplete, however new the row is.
       RC_ASSERT(Mirror.completeRow() ==
                 (Version - 1 <= Before ? std::max(Before, Version) : Before));
@@ -109,11 +109,11 @@
   RowMirror Mirror;
   (void)Mirror.merge({{"a", "1", 3, false}}, 10);
   CHECK(Mirror.completeRow() == 3);
-  CHECK(Mirror.mergePassedOn({{"c", "1", 14, false}}, 12, 14).size() == 1);
+  CHECK(Mirror.mergePassedOn({12, 14, {{"c", "1", 14, false}}}).size() == 1);
   CHECK(Mirror.completeRow() == 3);
-  (void)Mirror.mergePassedOn({{"b", "1", 12, false}, {"c", "1", 14, false}}, 3,
-                             14);
+  (void)Mirror.mergePassedOn(
+      {3, 14, {{"b", "1", 12, false}, {"c", "1", 14, false}}});
   CHECK(Mirror.completeRow() == 14);
-  (void)Mirror.mergePassedOn({{"a", "", 15, true}}, 14, 15);
+  (void)Mirror.mergePassedOn({14, 15, {{"a", "", 15, true}}});
   CHECK(Mirror.completeRow() == 15);
 }
--- a/src/catalog/row_mirror.cpp
+++ b/src/catalog/row_mirror.cpp
@@ -12,10 +12,26 @@
   return Names[static_cast<std::size_t>(Which)];
 }
 
-std::vector<Row> RowMirror::merge(std::vector<Row> Changes,
-                                  std::uint64_t Version) {
+namespace {
+
+/// Newest change up to `UpTo` that rows tell of. A row newer than that may
+/// stand for a change before it, whose version is not known any more.
+std::uint64_t newestOf(const std::vector<Row> &Rows, std::uint64_t UpTo) {
+  std::uint64_t Newest = 0;
+  for (const Row &Each : Rows)
+    Newest = std::max(Newest, Each.Version);
+  return std::min(Newest, UpTo);
+}
+
+} // namespace
+
+std::vector<Row> RowMirror::take(std::vector<Row> Changes, std::uint64_t UpTo) {
   std::vector<Row> News;
   for (Row &Change : Changes) {
+    // An answer that is older than the copy may hold a row whose removal left
+    // no marker here.
+    if (UpTo < Coverage_.UpTo && Change.Version <= Coverage_.UpTo)
+      continue;
     Row &Known = Rows_[Change.Key];
     if (Known.Version >= Change.Version)
       continue;
@@ -24,36 +40,78 @@
     Known = Change;
     News.push_back(std::move(Change));
   }
-  Version_ = std::max(Version_, Version);
+  return News;
+}
+
+void RowMirror::setComplete(std::uint64_t UpTo, std::uint64_t LastChange) {
+  Coverage_.UpTo = std::max(Coverage_.UpTo, UpTo);
+  // A change counts also if a newer one of the same row came first.
+  Coverage_.LastChange = std::max(Coverage_.LastChange, LastChange);
   for (const auto &[Key, Known] : Rows_)
-    if (Known.Version <= Version)
-      CompleteRow_ = std::max(CompleteRow_, Known.Version);
+    if (Known.Version <= Coverage_.UpTo)
+      Coverage_.LastChange = std::max(Coverage_.LastChange, Known.Version);
+}
+
+std::vector<Row> RowMirror::merge(std::vector<Row> Changes,
+                                  std::uint64_t Version) {
+  const std::uint64_t LastChange = newestOf(Changes, Version);
+  std::vector<Row> News = take(std::move(Changes), Version);
+  Version_ = std::max(Version_, Version);
+  setComplete(Version, LastChange);
   return News;
 }
 
-std::vector<Row> RowMirror::mergePassedOn(std::vector<Row> Changes,
-                                          std::uint64_t After,
-                                          std::uint64_t UpTo) {
-  std::vector<Row> News = merge(std::move(Changes), 0);
-  if (CompleteRow_ >= After)
-    CompleteRow_ = std::max(CompleteRow_, UpTo);
+std::vector<Row> RowMirror::mergePassedOn(RowBatch Batch) {
+  if (Batch.Whole)
+    return takeWhole(std::move(Batch.Rows), Batch.UpTo);
+  const std::uint64_t LastChange = newestOf(Batch.Rows, Batch.UpTo);
+  std::vector<Row> News = take(std::move(Batch.Rows), Batch.UpTo);
+  if (Coverage_.UpTo >= Batch.After)
+    setComplete(Batch.UpTo, LastChange);
   return News;
 }
 
 std::vector<Row> RowMirror::replaceAll(std::vector<Row> Rows,
                                        std::uint64_t Version) {
+  std::vector<Row> News = takeWhole(std::move(Rows), Version);
+  Version_ = std::max(Version_, Version);
+  return News;
+}
+
+std::vector<Row> RowMirror::takeWhole(std::vector<Row> Rows,
+                                      std::uint64_t Version) {
+  if (Version < Coverage_.UpTo)
+    return take(std::move(Rows), Version); // the copy is newer
   std::set<std::string> Listed;
   for (const Row &Each : Rows)
-    Listed.insert(Each.Key);
+    if (!Each.Removed) // a marker may be older than a life in between
+      Listed.insert(Each.Key);
   for (const auto &[Key, Known] : Rows_)
     if (!Known.Removed && Known.Version <= Version && Listed.count(Key) == 0)
       Rows.push_back({Key, "", Version, true});
   // A removal marker carries the version of the read; a row of the same
   // version cannot exist besides, since the read did not list it.
-  std::vector<Row> News = merge(std::move(Rows), Version);
+  std::vector<Row> News = take(std::move(Rows), Version);
+  Coverage_.ReadWholeAt = Version;
+  setComplete(Version, 0);
   return News;
 }
 
+bool RowMirror::noteCoverage(const RowCoverage &Other) {
+  // Changes up to the other's whole read may be removals that it cannot name.
+  if (Coverage_.UpTo < std::max(Other.LastChange, Other.ReadWholeAt))
+    return false;
+  setComplete(Other.UpTo, Other.LastChange);
+  return true;
+}
+
+RowBatch RowMirror::batchAfter(std::uint64_t After) const {
+  RowBatch Batch{After, Coverage_.UpTo, {}};
+  Batch.Whole = After < Coverage_.ReadWholeAt;
+  Batch.Rows = changesAfter(Batch.Whole ? 0 : After);
+  return Batch;
+}
+
 std::vector<Row> RowMirror::changesAfter(std::uint64_t After) const {
   std::vector<Row> Result;
   for (const auto &[Key, Known] : Rows_)
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -205,7 +205,8 @@
     std::size_t Bytes = 0;
     for (const catalog::Row &Each : Batch.Rows) {
       if (Bytes > MaxRowBytesPerMessage) {
-        Message.RowsUpTo = Message.EndpointRows.back().Version;
+        Message.RowsUpTo =
+            std::min(Batch.UpTo, Message.EndpointRows.back().Version);
         sendToAll(Message);
         Message.RowsAfter = Message.RowsUpTo;
         Message.EndpointRows.clear();
--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -44,6 +44,12 @@
 
 using catalog::nameOf;
 
+/// What a read of the whole table has brought: it links to no earlier change,
+/// so copies that take it in stay incomplete until they ask for the rest.
+RowBatch unlinkedBatch(std::vector<Row> News, std::uint64_t Version) {
+  return {Version, Version, std::move(News)};
+}
+
 class Follower final : public RowFollower {
 public:
   Follower(GatewayState &State, StoreClient &Store, OnRows Notify)
@@ -65,7 +71,7 @@
   }
 
   void takeFromPeer(Table Which, RowBatch Batch) override {
-    const std::uint64_t Complete = mirror(Which).completeRow();
+    const std::uint64_t Complete = mirror(Which).completeVersion();
     if (Batch.After > Complete)
       State_.Log.write("rows_gap", State_.now(), [&](LogLine &Line) {
         Line.field("table", nameOf(Which))
@@ -73,15 +79,11 @@
             .field("after", Batch.After)
             .field("up_to", Batch.UpTo);
       });
-    report(Which,
-           mirror(Which).mergePassedOn(std::move(Batch.Rows), Batch.After,
-                                       Batch.UpTo),
-           "peer");
+    report(Which, mirror(Which).mergePassedOn(std::move(Batch)), "peer");
   }
 
   RowBatch rowsAfter(Table Which, std::uint64_t After) const override {
-    return {After, mirror(Which).completeRow(),
-            mirror(Which).changesAfter(After)};
+    return mirror(Which).batchAfter(After);
   }
   bool hasRead(Table Which) const override { return mirror(Which).size() > 0; }
   bool storeAnswers() const override { return Answers_; }
@@ -191,7 +193,7 @@
 
   void take(Table Which, StoreRows &Result, bool ReadAll, BootTime SentAt) {
     const std::optional<Duration> StoreTime = Result.StoreTime;
-    const std::uint64_t Before = mirror(Which).completeRow();
+    const catalog::RowCoverage Before = mirror(Which).coverage();
     const std::vector<Row> News =
         ReadAll
             ? mirror(Which).replaceAll(std::move(Result.Rows), Result.Version)
@@ -204,9 +206,12 @@
     // of it from the others' heartbeats.
     const bool PassesOn =
         !State_.Nodes->hasRoles() || State_.Nodes->isFirstFollower();
-    if (Which == Table::Endpoints && PassesOn &&
-        mirror(Which).completeRow() > Before)
-      State_.Nodes->announceEndpointRows(rowsAfter(Which, Before));
+    if (Which == Table::Endpoints && PassesOn && Before.UpTo > 0 &&
+        !News.empty())
+      State_.Nodes->announceEndpointRows(
+          ReadAll ? unlinkedBatch(News, mirror(Which).completeVersion())
+                  : rowsAfter(Which,
+                              std::max(Before.LastChange, Before.ReadWholeAt)));
   }
 
   void report(Table Which, const std::vector<Row> &News,
@@ -247,7 +252,7 @@
     http::Request Call;
     Call.Method = "GET";
     Call.Target = "/rows/" + std::string(nameOf(Which)) +
-                  "?after=" + std::to_string(mirror(Which).completeRow());
+                  "?after=" + std::to_string(mirror(Which).completeVersion());
     const std::string From = Peer.Host;
     std::optional<http::Response> Reply = co_await http::fetch(
         std::move(Peer), Call, PeerReadLimit, nullptr, PeerReadBytes);
@@ -264,9 +269,7 @@
     }
     // The store's own version is not advanced: its feed repeats these rows,
     // which are then known.
-    const std::vector<Row> News = mirror(Which).mergePassedOn(
-        std::move(Batch->Rows), Batch->After, Batch->UpTo);
-    report(Which, News, From);
+    report(Which, mirror(Which).mergePassedOn(std::move(*Batch)), From);
   }
 
   GatewayState &State_;
--- a/src/gateway/row_messages.cpp
+++ b/src/gateway/row_messages.cpp
@@ -18,13 +18,14 @@
   std::uint64_t After = 0;
   std::uint64_t UpTo = 0;
   std::vector<RowMessage> Rows;
-  MSGPACK_DEFINE(After, UpTo, Rows)
+  bool Whole = false;
+  MSGPACK_DEFINE(After, UpTo, Rows, Whole)
 };
 
 } // namespace
 
 std::string packRows(const RowBatch &Batch) {
-  BatchMessage Message{Batch.After, Batch.UpTo, {}};
+  BatchMessage Message{Batch.After, Batch.UpTo, {}, Batch.Whole};
   Message.Rows.reserve(Batch.Rows.size());
   for (const catalog::Row &Each : Batch.Rows)
     Message.Rows.push_back({Each.Key, Each.Value, Each.Version, Each.Removed});
@@ -36,7 +37,7 @@
   std::optional<BatchMessage> Message = unpack<BatchMessage>(Bytes, Reason);
   if (!Message)
     return std::nullopt;
-  RowBatch Batch{Message->After, Message->UpTo, {}};
+  RowBatch Batch{Message->After, Message->UpTo, {}, Message->Whole};
   Batch.Rows.reserve(Message->Rows.size());
   for (RowMessage &Each : Message->Rows)
     Batch.Rows.push_back({std::move(Each.Key), std::move(Each.Value),
--- a/src/gateway/row_messages.h
+++ b/src/gateway/row_messages.h
@@ -10,12 +10,7 @@
 /// Rows of a table as one node sends them to another.
 namespace cassiashed::gateway {
 
-/// All changes after version `After`, up to `UpTo`.
-struct RowBatch {
-  std::uint64_t After = 0;
-  std::uint64_t UpTo = 0;
-  std::vector<catalog::Row> Rows;
-};
+using catalog::RowBatch;
 
 std::string packRows(const RowBatch &Batch);
 /// Nothing and a reason for bytes that hold no rows.
