Pace messages to all nodes so that their end is not lost

Cause: each follower sent rows to all nodes at once, in the same order of addresses. 80 datagrams of 1,787 bytes exceed what the queue of a 20 Mbit/s link takes (about 130 KB), its end is dropped without an error at the socket, and at all four followers for the same nodes. Trials on: no send fails; with the order reversed, the first three nodes miss the rows instead of the last three. Change: SendPacer spreads messages to all nodes over time, at half of the own link (link_mbps in [limits]); each begins with another node; a message of rows fits one frame.

--- a/include/cassiashed/config/gateway_settings.h
+++ b/include/cassiashed/config/gateway_settings.h
@@ -32,6 +32,7 @@
   double CpuShare = 1; ///< cores that the process may use
   int MemoryMb = 256;  ///< the process is killed above it
   int FileDescriptors = 1024;
+  double LinkMbps = 20; ///< of the host's own link, in Mbit/s
 };
 
 /// Bounds that the deployment promises; each holds over all nodes.
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::string_view NumberForm = "a number from 0 to 1000000";
+constexpr std::string_view PositiveForm = "a number above 0, up to 1000000";
 constexpr std::string_view MillisecondsForm = "milliseconds from 1 to 86400000";
 constexpr std::string_view CountForm = "a whole number from 1 to 1000000";
 
@@ -22,6 +23,11 @@
   return Value;
 }
 
+std::optional<double> parsePositive(std::string_view Text) {
+  const std::optional<double> Value = parseNonNegative(Text);
+  return Value && *Value > 0 ? Value : std::nullopt;
+}
+
 std::optional<Duration> parseSeconds(std::string_view Text) {
   const auto Value = parseNonNegative(Text);
   if (!Value)
@@ -94,6 +100,8 @@
         "memory_mb", CountForm),
     makeRule<&GatewayLimits::FileDescriptors, parseNumber<int, 1, 1'000'000>>(
         "file_descriptors", CountForm),
+    makeRule<&GatewayLimits::LinkMbps, parsePositive>("link_mbps",
+                                                      PositiveForm),
 };
 
 constexpr std::array BoundRules = {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -91,6 +91,7 @@
     Options.Name = State_.Settings.Gateway.Name;
     Options.Incarnation = State_.Random();
     Options.CpuShare = State_.Settings.Limits.CpuShare;
+    Options.LinkMbps = State_.Settings.Limits.LinkMbps;
     Options.Internal = {State_.Settings.Gateway.Internal.Host,
                         State_.Settings.Gateway.Internal.Port};
     for (const HostPort &Seed : State_.Settings.Cluster.Seeds)
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -3,6 +3,7 @@
 #include "cassiashed/base/event_log.h"
 #include "cassiashed/base/hash.h"
 #include "gateway/peer_table.h"
+#include "gateway/send_pacer.h"
 #include "http/asio.h"
 #include <algorithm>
 #include <array>
@@ -35,7 +36,14 @@
 /// Below the size that fits one Ethernet frame, so that no datagram is split.
 constexpr std::size_t MaxItemsPerMessage = 30;
 constexpr std::size_t MaxKnownNodes = 32;
-constexpr std::size_t MaxRowBytesPerMessage = 6000;
+/// Rows and what surrounds them fit one frame: a message in several is lost
+/// with any of them.
+constexpr std::size_t MaxRowBytesPerMessage = 900;
+/// Part of the own link that messages to all nodes may take; the rest is for
+/// requests.
+constexpr double PacedLinkPart = 0.5;
+/// Between two parts of messages to all nodes.
+constexpr Duration PacePeriod{5};
 /// Nodes that follow tables for all: enough that some are left when a zone and
 /// a third of the other nodes lose the store at once.
 constexpr int FollowerCount = 4;
@@ -55,6 +63,12 @@
 /// Freshness questions whose answers are still taken.
 constexpr std::size_t OpenFreshnessQuestions = 8;
 
+SendPacerOptions pacerOptions(double LinkMbps) {
+  SendPacerOptions Options;
+  Options.BytesPerSecond = LinkMbps * 1e6 / 8 * PacedLinkPart;
+  return Options;
+}
+
 /// Messages that the system did not take, and what was logged of them.
 struct Unsent {
   std::uint64_t Total = 0;
@@ -71,7 +85,8 @@
         Peers_(Options_.Internal.Host,
                {Options_.CpuShare, hashBytes(Options_.Name)}),
         StartedAt_(now()), Socket_(Context), Heartbeat_(Context),
-        Collect_(Context) {}
+        Collect_(Context), Pace_(Context),
+        Pacer_(pacerOptions(Options_.LinkMbps)) {}
 
   bool open(std::string &Reason) {
     Code Failure;
@@ -202,7 +217,8 @@
     Message.RowsAfter = Batch.After;
     std::size_t Bytes = 0;
     for (const catalog::Row &Each : Batch.Rows) {
-      if (Bytes > MaxRowBytesPerMessage) {
+      const std::size_t RowBytes = Each.Key.size() + Each.Value.size();
+      if (Bytes > 0 && Bytes + RowBytes > MaxRowBytesPerMessage) {
         Message.RowsUpTo =
             std::min(Batch.UpTo, Message.EndpointRows.back().Version);
         sendToAll(Message);
@@ -210,7 +226,7 @@
         Message.EndpointRows.clear();
         Bytes = 0;
       }
-      Bytes += Each.Key.size() + Each.Value.size();
+      Bytes += RowBytes;
       Message.EndpointRows.push_back(
           {Each.Key, Each.Value, Each.Version, Each.Removed});
     }
@@ -536,10 +552,35 @@
     if (const Peer *Entry = Peers_.find(Host))
       send(packMessage(Message), Entry->Where);
   }
+  /// Begins with any node, so that nodes are not the last ones at each sender.
   void sendToAll(const NodeMessage &Message) {
-    const std::string Bytes = packMessage(Message);
+    if (Peers_.all().empty())
+      return;
+    const auto Bytes =
+        std::make_shared<const std::string>(packMessage(Message));
+    std::vector<Udp::endpoint> Targets;
+    Targets.reserve(Peers_.all().size());
     for (const auto &[Host, Entry] : Peers_.all())
-      send(Bytes, Entry.Where);
+      Targets.push_back(Entry.Where);
+    const auto First = std::uniform_int_distribution<std::ptrdiff_t>(
+        0, static_cast<std::ptrdiff_t>(Targets.size()) - 1)(Random_);
+    std::rotate(Targets.begin(), Targets.begin() + First, Targets.end());
+    for (const Udp::endpoint &Each : Targets)
+      Pacer_.add(Bytes, Each);
+    sendPaced();
+  }
+  void sendPaced() {
+    for (const PacedMessage &Each : Pacer_.takeDue(now()))
+      send(*Each.Bytes, Each.Where);
+    if (Pacer_.empty() || Pacing_)
+      return;
+    Pacing_ = true;
+    Pace_.expires_after(PacePeriod);
+    Pace_.async_wait([this](Code Failure) {
+      Pacing_ = false;
+      if (!Failure)
+        sendPaced();
+    });
   }
   void sendToBest(const NodeMessage &Message) {
     const std::string Bytes = packMessage(Message);
@@ -586,6 +627,9 @@
   std::array<char, 16 * 1024> Received_{};
   asio::steady_timer Heartbeat_;
   asio::steady_timer Collect_;
+  asio::steady_timer Pace_;
+  SendPacer Pacer_; ///< of messages to all nodes
+  bool Pacing_ = false;
   int BeatCount_ = 0;
   bool Collecting_ = false;
   bool CatchingUp_ = false;
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -25,6 +25,7 @@
   std::uint64_t Incarnation = 0; ///< random, of this process
   http::Address Internal;        ///< own address, UDP and TCP
   double CpuShare = 0;           ///< cores that this process may use
+  double LinkMbps = 20;          ///< of this host's own link
   std::vector<std::string> SeedHosts;
 };
 
