Prove that the copy of the operator's table is current

Callers saw: keys, routes and zones of an older configuration for as long as a call to the store goes unanswered, up to 21.5 s. Cause: below 100 nodes each node waits up to 20 s for changes and nothing tells that nobody hears from the store; above, four followers. Change: the vouching of the endpoints' table holds for the operator's, with the bound config_apply_ms ([bounds]). Followers of fleets from 100 nodes on no longer poll each second. Log events are rows_old and rows_current, with the table. Test: test_forgotten_polls_do_not_hide_a_configuration failed before (200 with a key that was taken away 2 s ago). A further test, that a process that wakes up hears of leaving replicas first, passed at once.

--- a/include/cassiashed/config/gateway_settings.h
+++ b/include/cassiashed/config/gateway_settings.h
@@ -38,6 +38,8 @@
 /// Bounds that the deployment promises; each holds over all nodes.
 struct GatewayBounds {
   Duration Drain{2000}; ///< from a leaving notice to the last new request
+  /// From a change by the operator until it is in force everywhere.
+  Duration ConfigApply{2000};
   Duration Grace{8000}; ///< from SIGTERM to SIGKILL
   Duration RetryWindow{10000};
   double RetryRatio = 0.2;        ///< repeats per first attempt
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -107,6 +107,8 @@
 constexpr std::array BoundRules = {
     makeRule<&GatewayBounds::Drain, parseMilliseconds>("drain_ms",
                                                        MillisecondsForm),
+    makeRule<&GatewayBounds::ConfigApply, parseMilliseconds>("config_apply_ms",
+                                                             MillisecondsForm),
     makeRule<&GatewayBounds::Grace, parseSeconds>("grace_s", NumberForm),
     makeRule<&GatewayBounds::RetryWindow, parseSeconds>("retry_window_s",
                                                         NumberForm),
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -203,7 +203,7 @@
 
   /// Keeps the operator's table current where a node must know which keys are
   /// valid.
-  void keepCurrent() {
+  void confirmKeys() {
     const GatewayBounds &Bounds = State_.Settings.Bounds;
     if (!Bounds.RevokeFailClosed)
       return;
@@ -305,8 +305,8 @@
     const TimePoint Now = State_.now();
     Updater_.tick(Now);
     State_.Load.expire(Now);
-    keepCurrent();
-    Rows_->keepEndpointsCurrent();
+    confirmKeys();
+    Rows_->keepCurrent();
     if (Now - LastHousekeeping_ >= HousekeepingPeriod) {
       LastHousekeeping_ = Now;
       State_.Pool.dropExpired(Now);
--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -20,19 +20,18 @@
 /// it every node does: followers that a silent store turns away would hold up
 /// a change for all until their calls time out.
 constexpr int OperatorFollowersFrom = 100;
-/// How long the store holds a call of such a follower open, so that a silent
-/// one is noticed within the bounds on configurations.
-constexpr Duration FollowerWait{1000};
 /// Where keys are refused that nobody can vouch for, one node hears from the
 /// store this often, in parts of the bound; the others ask it.
 constexpr double ConfirmPart = 0.2;
-/// How long the store holds calls for endpoints open of the two followers that
-/// vouch for the others' copies, in parts of the drain bound.
+/// How long the store holds calls open of the two followers that vouch for the
+/// others' copies, in parts of the bound on changes of the table.
 constexpr std::array<double, 2> VouchWaits = {0.2, 0.4};
-/// Copies of endpoints that nobody vouches for are read from the store: enough
-/// of the bound is left for some tries at a slow store.
-constexpr catalog::RefreshOptions EndpointRefresh = {
+/// Copies that nobody vouches for are read from the store: enough of the bound
+/// is left for some tries at a slow store.
+constexpr catalog::RefreshOptions CopyRefresh = {
     .AskFrom = 1, .ReadFrom = 0.6, .AskPeriod = 1, .ReadPeriod = 0.15};
+/// The tables that are followed; the nodes' table is read once.
+constexpr std::array<Table, 2> Followed = {Table::Operator, Table::Endpoints};
 /// A read that only confirms what is known, or that the store is back.
 constexpr Duration NoWait{1};
 /// Until it is known whether the fleet is large: the processes of a deployment
@@ -64,51 +63,41 @@
       : State_(State), Store_(Store), Notify_(std::move(Notify)) {}
 
   void start() {
-    for (const Table Which : {Table::Operator, Table::Endpoints})
+    for (const Table Which : Followed)
       asio::co_spawn(State_.Context, follow(Which), asio::detached);
   }
 
   void confirmOperatorRows() override { startConfirm(Table::Operator); }
 
   std::vector<RowClaim> ownClaims() const override {
-    const Copy &Endpoints = copy(Table::Endpoints);
-    if (!Endpoints.ReadAt)
-      return {};
-    return {{Table::Endpoints, Endpoints.Mirror.coverage(), *Endpoints.ReadAt}};
+    std::vector<RowClaim> Claims;
+    for (const Table Which : Followed)
+      if (copy(Which).ReadAt)
+        Claims.push_back(
+            {Which, mirror(Which).coverage(), *copy(Which).ReadAt});
+    return Claims;
   }
 
   void takeClaim(const RowClaim &Claim, const http::Address &Peer) override {
+    if (Claim.Which == Table::Nodes)
+      return;
     const BootTime Now = BootClock::now();
-    catalog::TableFreshness &Freshness = State_.EndpointFreshness;
-    if (Claim.Which != Table::Endpoints ||
-        !Freshness.wouldGain(Claim.StoreTime, Now))
+    catalog::TableFreshness &Freshness = freshness(Claim.Which);
+    if (!Freshness.wouldGain(Claim.StoreTime, Now))
       return;
-    Copy &Endpoints = copy(Claim.Which);
-    if (Endpoints.Mirror.noteCoverage(Claim.Coverage)) {
+    Copy &Own = copy(Claim.Which);
+    if (Own.Mirror.noteCoverage(Claim.Coverage)) {
       Freshness.noteClaim(Claim.StoreTime, Now);
-      Endpoints.Ahead.reset();
+      Own.Ahead.reset();
     } else {
-      Endpoints.Ahead = Peer;
+      Own.Ahead = Peer;
     }
   }
 
-  void keepEndpointsCurrent() override {
-    const BootTime Now = BootClock::now();
-    const Duration Bound = State_.Settings.Bounds.Drain;
-    const std::optional<Duration> Age = State_.EndpointFreshness.age(Now);
-    noteEndpointAge(Age, Bound);
-    Copy &Endpoints = copy(Table::Endpoints);
-    const auto SinceRead =
-        std::chrono::duration_cast<Duration>(Now - Endpoints.TriedAt);
-    if (!hasRead(Table::Endpoints) ||
-        catalog::nextRefresh(Age, Bound, Duration(0), SinceRead,
-                             EndpointRefresh) != catalog::Refresh::ReadStore)
-      return;
-    Endpoints.TriedAt = Now;
-    const double Share = catalog::readShare(State_.Nodes->possibleNodes(),
-                                            Endpoints.Ahead.has_value());
-    if (std::bernoulli_distribution(Share)(State_.Random))
-      startConfirm(Table::Endpoints);
+  void keepCurrent() override {
+    for (const Table Which : Followed)
+      if (hasRead(Which))
+        keepCurrent(Which);
   }
 
   void fetchFrom(Table Which, http::Address Peer) override {
@@ -145,6 +134,7 @@
     std::optional<http::Address> Ahead;
     BootTime TriedAt; ///< the last time that a refresh was due
     bool Confirming = false;
+    bool IsCurrent = true; ///< as logged
   };
 
   Copy &copy(Table Which) { return Copies_[static_cast<std::size_t>(Which)]; }
@@ -159,16 +149,40 @@
                                     : State_.EndpointFreshness;
   }
 
-  void noteEndpointAge(std::optional<Duration> Age, Duration Bound) {
-    const bool Current = Age && *Age <= Bound;
-    if (Current == EndpointsCurrent_ || !hasRead(Table::Endpoints))
+  /// From the acknowledgement of a change until no node may act without it.
+  Duration boundOf(Table Which) const {
+    const GatewayBounds &Bounds = State_.Settings.Bounds;
+    return Which == Table::Operator ? Bounds.ConfigApply : Bounds.Drain;
+  }
+
+  void keepCurrent(Table Which) {
+    const BootTime Now = BootClock::now();
+    const Duration Bound = boundOf(Which);
+    const std::optional<Duration> Age = freshness(Which).age(Now);
+    noteAge(Which, Age, Bound);
+    Copy &Own = copy(Which);
+    const auto SinceTried =
+        std::chrono::duration_cast<Duration>(Now - Own.TriedAt);
+    if (catalog::nextRefresh(Age, Bound, Duration(0), SinceTried,
+                             CopyRefresh) != catalog::Refresh::ReadStore)
+      return;
+    Own.TriedAt = Now;
+    const double Share = catalog::readShare(State_.Nodes->possibleNodes(),
+                                            Own.Ahead.has_value());
+    if (std::bernoulli_distribution(Share)(State_.Random))
+      startConfirm(Which);
+  }
+
+  void noteAge(Table Which, std::optional<Duration> Age, Duration Bound) {
+    const bool IsCurrent = Age && *Age <= Bound;
+    if (IsCurrent == copy(Which).IsCurrent)
       return;
-    EndpointsCurrent_ = Current;
-    (Current ? logEvent("endpoint_rows_current")
-             : logWarning("endpoint_rows_old"))
+    copy(Which).IsCurrent = IsCurrent;
+    (IsCurrent ? logEvent("rows_current") : logWarning("rows_old"))
+        .field("table", nameOf(Which))
         .field("age_ms", Age ? Age->count() : -1)
         .field("bound_ms", Bound.count())
-        .field("complete", mirror(Table::Endpoints).completeRow());
+        .field("complete", mirror(Which).completeRow());
   }
 
   http::Task<void> follow(Table Which) {
@@ -225,17 +239,16 @@
 
   Duration followWait(Table Which) const {
     const GatewayBounds &Bounds = State_.Settings.Bounds;
-    if (Which == Table::Operator && hasOperatorFollowers())
-      return FollowerWait;
-    if (Which == Table::Operator && Bounds.RevokeFailClosed &&
-        State_.Nodes->betterFollowers() == 0)
-      return std::chrono::duration_cast<Duration>(Bounds.Revoke * ConfirmPart);
     const auto Better =
         static_cast<std::size_t>(State_.Nodes->betterFollowers());
-    if (Which == Table::Endpoints && Better < VouchWaits.size())
-      return std::chrono::duration_cast<Duration>(Bounds.Drain *
-                                                  VouchWaits.at(Better));
-    return FollowWait;
+    if (Better >= VouchWaits.size())
+      return FollowWait;
+    Duration Wait = std::chrono::duration_cast<Duration>(boundOf(Which) *
+                                                         VouchWaits.at(Better));
+    if (Which == Table::Operator && Bounds.RevokeFailClosed && Better == 0)
+      Wait = std::min(Wait, std::chrono::duration_cast<Duration>(Bounds.Revoke *
+                                                                 ConfirmPart));
+    return Wait;
   }
 
   void startConfirm(Table Which) {
@@ -369,7 +382,6 @@
   OnRows Notify_;
   std::array<Copy, catalog::TableCount> Copies_;
   bool Answers_ = true;
-  bool EndpointsCurrent_ = true;
   TimePoint RegainedAt_;
 };
 
--- a/src/gateway/row_follower.h
+++ b/src/gateway/row_follower.h
@@ -25,9 +25,9 @@
   virtual std::vector<RowClaim> ownClaims() const = 0;
   /// What another node says of its copy.
   virtual void takeClaim(const RowClaim &Claim, const http::Address &Peer) = 0;
-  /// Reads the endpoints' changes if too long nobody has vouched for this
+  /// Reads the changes of a table if too long nobody has vouched for this
   /// node's copy. Called in short intervals.
-  virtual void keepEndpointsCurrent() = 0;
+  virtual void keepCurrent() = 0;
   /// Reads the newer rows of a table from another node.
   virtual void fetchFrom(catalog::Table Which, http::Address Peer) = 0;
   /// Rows that another node has read from the store.
--- a/tests/process/gateway_test.py
+++ b/tests/process/gateway_test.py
@@ -404,6 +404,33 @@
             self.assertEqual(self.call("/get/x")[0], 200)
         self.assertEqual(len(self.app[0].requests), 0)
 
+    # Guards against keys and zones that stay in use since the operator's change waits in a forgotten call.
+    def test_forgotten_polls_do_not_hide_a_configuration(self):
+        time.sleep(self.FOLLOWS_AFTER)
+        self.store.forget_polls()
+        self.store.put("op", "config", make_config(9, keys=["key-2"]))
+        time.sleep(2)  # the bound on configurations
+        self.assertEqual(self.call("/get/x")[0], 401)
+        self.assertEqual(self.call("/get/x", key="key-2")[0], 200)
+
+    # Guards against a process that wakes up and sends by what it knew before it was stopped.
+    def test_a_process_that_wakes_up_hears_of_leaving_replicas_first(self):
+        time.sleep(self.FOLLOWS_AFTER)
+        self.gateway.process.send_signal(signal.SIGSTOP)
+        self.addCleanup(self.gateway.process.send_signal, signal.SIGCONT)
+        self.store.put("servers", "app-0", self.app[0].entry("app", "draining"))
+        answers = []
+        calls = [threading.Thread(target=lambda: answers.append(self.call("/get/x", deadline_ms=8000)[0]))
+                 for _ in range(20)]
+        for each in calls:
+            each.start()
+        time.sleep(3)
+        self.gateway.process.send_signal(signal.SIGCONT)
+        for each in calls:
+            each.join()
+        self.assertEqual(answers, [200] * 20)
+        self.assertEqual(len(self.app[0].requests), 0)
+
     # Guards against a prompt that is read by a helper which left while its memory was reserved.
     def test_a_helper_that_leaves_before_the_send_gets_no_work(self):
         time.sleep(self.FOLLOWS_AFTER)
