Read the store less while copies are due

Change: reads go on from the version up to which the copy is complete, from whatever source (RowMirror has one version instead of two; a check of catalog_test names it anew); a claim counts while it is within the bound; a follower that vouches reads when its copy is 0.3 of the bound old; nodes that the store turns away do not vouch. Rows that change while others are on their way are sent together, so that the queue of SendPacer is bounded.

--- a/include/cassiashed/catalog/row_mirror.h
+++ b/include/cassiashed/catalog/row_mirror.h
@@ -57,8 +57,8 @@
 /// ```
 class RowMirror {
 public:
-  /// Takes in the store's changes after `version()`, up to `Version`. Returns
-  /// those that were news.
+  /// Takes in the store's changes after `completeVersion()`, up to `Version`.
+  /// Returns those that were news.
   std::vector<Row> merge(std::vector<Row> Changes, std::uint64_t Version);
 
   /// Takes in what another node passes on. Returns those that were news. If
@@ -79,9 +79,8 @@
   /// Rows newer than `After`, with removal markers.
   std::vector<Row> changesAfter(std::uint64_t After) const;
 
-  /// Store version up to which the store itself was read; 0: nothing read.
-  std::uint64_t version() const { return Version_; }
-  /// Store version up to which no change is missing, from whatever source.
+  /// Store version up to which no change is missing, from whatever source; 0:
+  /// nothing read.
   std::uint64_t completeVersion() const { return Coverage_.UpTo; }
   /// Newest change up to which no other is missing. Nodes compare it: the
   /// store's own version grows with changes of other tables, too.
@@ -91,11 +90,9 @@
 
 private:
   std::vector<Row> take(std::vector<Row> Changes, std::uint64_t UpTo);
-  std::vector<Row> takeWhole(std::vector<Row> Rows, std::uint64_t Version);
   void setComplete(std::uint64_t UpTo, std::uint64_t LastChange);
 
   std::map<std::string, Row> Rows_;
-  std::uint64_t Version_ = 0;
   RowCoverage Coverage_;
 };
 
--- a/include/cassiashed/catalog/table_freshness.h
+++ b/include/cassiashed/catalog/table_freshness.h
@@ -36,6 +36,9 @@
   /// Whether such a claim would make this copy more current.
   bool wouldGain(Duration StoreTime, BootTime Now) const;
 
+  /// Whether a copy that was complete at `StoreTime` is within the bound.
+  bool isClaimWithin(Duration StoreTime, Duration Bound, BootTime Now) const;
+
   /// Nothing if the copy was never confirmed.
   std::optional<Duration> age(BootTime Now) const;
   bool isWithin(Duration Bound, BootTime Now) const;
--- a/src/catalog/catalog_test.cpp
+++ b/src/catalog/catalog_test.cpp
@@ -100,7 +100,7 @@
   const std::vector<Row> News = Mirror.replaceAll({{"kept", "3", 4, false}}, 6);
   CHECK(News.size() == 2);
   CHECK(Mirror.changesAfter(8).size() == 1);
-  CHECK(Mirror.version() == 6);
+  CHECK(Mirror.completeVersion() == 6);
 }
 
 // Guards against a lost datagram: a later one must not hide that a row is
--- a/src/catalog/row_mirror.cpp
+++ b/src/catalog/row_mirror.cpp
@@ -56,14 +56,13 @@
                                   std::uint64_t Version) {
   const std::uint64_t LastChange = newestOf(Changes, Version);
   std::vector<Row> News = take(std::move(Changes), Version);
-  Version_ = std::max(Version_, Version);
   setComplete(Version, LastChange);
   return News;
 }
 
 std::vector<Row> RowMirror::mergePassedOn(RowBatch Batch) {
   if (Batch.Whole)
-    return takeWhole(std::move(Batch.Rows), Batch.UpTo);
+    return replaceAll(std::move(Batch.Rows), Batch.UpTo);
   const std::uint64_t LastChange = newestOf(Batch.Rows, Batch.UpTo);
   std::vector<Row> News = take(std::move(Batch.Rows), Batch.UpTo);
   if (Coverage_.UpTo >= Batch.After)
@@ -73,13 +72,6 @@
 
 std::vector<Row> RowMirror::replaceAll(std::vector<Row> Rows,
                                        std::uint64_t Version) {
-  std::vector<Row> News = takeWhole(std::move(Rows), Version);
-  Version_ = std::max(Version_, Version);
-  return News;
-}
-
-std::vector<Row> RowMirror::takeWhole(std::vector<Row> Rows,
-                                      std::uint64_t Version) {
   if (Version < Coverage_.UpTo)
     return take(std::move(Rows), Version); // the copy is newer
   std::set<std::string> Listed;
--- a/src/catalog/row_mirror_test.cpp
+++ b/src/catalog/row_mirror_test.cpp
@@ -64,7 +64,7 @@
     Message Answer;
     Answer.To = Node;
     Answer.FromStore = true;
-    Answer.Batch.After = Nodes_[Node].version();
+    Answer.Batch.After = Nodes_[Node].completeVersion();
     Answer.Batch.UpTo = Version_;
     Answer.Batch.Whole = Whole || Answer.Batch.After == 0;
     for (const auto &[Key, Entry] : tableAt(Version_))
--- a/src/catalog/table_freshness.cpp
+++ b/src/catalog/table_freshness.cpp
@@ -32,6 +32,12 @@
   return At && (!CompleteAt_ || *At > *CompleteAt_);
 }
 
+bool TableFreshness::isClaimWithin(Duration StoreTime, Duration Bound,
+                                   BootTime Now) const {
+  const std::optional<BootTime> At = Clock_.earliest(StoreTime, Now);
+  return At && Now - *At <= Bound;
+}
+
 std::optional<Duration> TableFreshness::age(BootTime Now) const {
   if (!CompleteAt_)
     return std::nullopt;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -128,6 +128,9 @@
     Events.EndpointRows = [this](RowBatch Rows) {
       Rows_->takeFromPeer(catalog::Table::Endpoints, std::move(Rows));
     };
+    Events.EndpointRowsAfter = [this](std::uint64_t After) {
+      return Rows_->rowsAfter(catalog::Table::Endpoints, After);
+    };
     Events.OperatorAge = [this] {
       return State_.OperatorFreshness.age(BootClock::now());
     };
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -39,10 +39,10 @@
 /// Rows and what surrounds them fit one frame: a message in several is lost
 /// with any of them.
 constexpr std::size_t MaxRowBytesPerMessage = 900;
-/// Part of the own link that messages to all nodes may take; the rest is for
+/// Part of the own link that rows for all nodes may take; the rest is for
 /// requests.
 constexpr double PacedLinkPart = 0.5;
-/// Between two parts of messages to all nodes.
+/// Between two parts of rows for all nodes.
 constexpr Duration PacePeriod{5};
 /// Nodes that follow tables for all: enough that some are left when a zone and
 /// a third of the other nodes lose the store at once.
@@ -143,6 +143,7 @@
     Following_ = Following;
     beat();
   }
+  bool isFollowing() const override { return Following_; }
   void askOperatorAge() override {
     NodeMessage Message = makeMessage();
     Message.FreshnessAskedAt =
@@ -213,6 +214,12 @@
     sendToAll(Message);
   }
   void announceEndpointRows(const RowBatch &Batch) override {
+    // Changes that come faster than the link takes them are sent together.
+    if (!Pacer_.empty()) {
+      RowsWaitAfter_ =
+          std::min(RowsWaitAfter_.value_or(Batch.After), Batch.After);
+      return;
+    }
     NodeMessage Message = makeMessage();
     Message.RowsAfter = Batch.After;
     std::size_t Bytes = 0;
@@ -221,7 +228,7 @@
       if (Bytes > 0 && Bytes + RowBytes > MaxRowBytesPerMessage) {
         Message.RowsUpTo =
             std::min(Batch.UpTo, Message.EndpointRows.back().Version);
-        sendToAll(Message);
+        paceToAll(Message);
         Message.RowsAfter = Message.RowsUpTo;
         Message.EndpointRows.clear();
         Bytes = 0;
@@ -231,7 +238,8 @@
           {Each.Key, Each.Value, Each.Version, Each.Removed});
     }
     Message.RowsUpTo = Batch.UpTo;
-    sendToAll(Message);
+    paceToAll(Message);
+    sendPaced();
   }
 
   int possibleNodes() const override { return Peers_.possibleCount(); }
@@ -552,36 +560,53 @@
     if (const Peer *Entry = Peers_.find(Host))
       send(packMessage(Message), Entry->Where);
   }
-  /// Begins with any node, so that nodes are not the last ones at each sender.
-  void sendToAll(const NodeMessage &Message) {
-    if (Peers_.all().empty())
-      return;
-    const auto Bytes =
-        std::make_shared<const std::string>(packMessage(Message));
+  /// Addresses of all nodes, beginning with any: otherwise the same nodes are
+  /// the last ones at each sender, whose link drops the end of a burst.
+  std::vector<Udp::endpoint> allInTurn() {
     std::vector<Udp::endpoint> Targets;
     Targets.reserve(Peers_.all().size());
     for (const auto &[Host, Entry] : Peers_.all())
       Targets.push_back(Entry.Where);
+    if (Targets.empty())
+      return Targets;
     const auto First = std::uniform_int_distribution<std::ptrdiff_t>(
         0, static_cast<std::ptrdiff_t>(Targets.size()) - 1)(Random_);
     std::rotate(Targets.begin(), Targets.begin() + First, Targets.end());
-    for (const Udp::endpoint &Each : Targets)
+    return Targets;
+  }
+  void sendToAll(const NodeMessage &Message) {
+    const std::string Bytes = packMessage(Message);
+    for (const Udp::endpoint &Each : allInTurn())
+      send(Bytes, Each);
+  }
+  void paceToAll(const NodeMessage &Message) {
+    const auto Bytes =
+        std::make_shared<const std::string>(packMessage(Message));
+    for (const Udp::endpoint &Each : allInTurn())
       Pacer_.add(Bytes, Each);
-    sendPaced();
   }
   void sendPaced() {
     for (const PacedMessage &Each : Pacer_.takeDue(now()))
       send(*Each.Bytes, Each.Where);
-    if (Pacer_.empty() || Pacing_)
+    if (Pacer_.empty()) {
+      sendWaitingRows();
       return;
-    Pacing_ = true;
+    }
     Pace_.expires_after(PacePeriod);
     Pace_.async_wait([this](Code Failure) {
-      Pacing_ = false;
       if (!Failure)
         sendPaced();
     });
   }
+  void sendWaitingRows() {
+    if (!RowsWaitAfter_)
+      return;
+    const RowBatch Batch = Events_.EndpointRowsAfter(*RowsWaitAfter_);
+    RowsWaitAfter_.reset();
+    // A whole table does not go by messages; nodes that lack it ask for it.
+    if (!Batch.Whole)
+      announceEndpointRows(Batch);
+  }
   void sendToBest(const NodeMessage &Message) {
     const std::string Bytes = packMessage(Message);
     for (const Peer *Each : Peers_.best(PlacerReserve))
@@ -628,8 +653,9 @@
   asio::steady_timer Heartbeat_;
   asio::steady_timer Collect_;
   asio::steady_timer Pace_;
-  SendPacer Pacer_; ///< of messages to all nodes
-  bool Pacing_ = false;
+  SendPacer Pacer_; ///< of rows for all nodes
+  /// Rows after this version wait until those before them are sent.
+  std::optional<std::uint64_t> RowsWaitAfter_;
   int BeatCount_ = 0;
   bool Collecting_ = false;
   bool CatchingUp_ = false;
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -46,6 +46,8 @@
   std::function<void(std::uint32_t Origin)> NodeLost;
   /// Rows of the endpoints' table that a node read from the store.
   std::function<void(RowBatch)> EndpointRows;
+  /// Rows of the endpoints' table newer than a version.
+  std::function<RowBatch(std::uint64_t After)> EndpointRowsAfter;
   /// Age of this node's copy of the operator's table; nothing if unknown.
   std::function<std::optional<Duration>()> OperatorAge;
   /// A node that holds no newer row of the operator's table says how old its
@@ -84,6 +86,7 @@
   virtual int betterFollowers() const = 0;
   /// Tells the other nodes whether this one follows tables.
   virtual void setFollowing(bool Following) = 0;
+  virtual bool isFollowing() const = 0;
   /// Asks some nodes how current their copy of the operator's table is, those
   /// that follow tables first.
   virtual void askOperatorAge() = 0;
--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -30,6 +30,10 @@
 /// is left for some tries at a slow store.
 constexpr catalog::RefreshOptions CopyRefresh = {
     .AskFrom = 1, .ReadFrom = 0.6, .AskPeriod = 1, .ReadPeriod = 0.15};
+/// A node that should vouch reads the store when a better-ranked one no longer
+/// does: its own call may wait for long yet.
+constexpr catalog::RefreshOptions VoucherRefresh = {
+    .AskFrom = 1, .ReadFrom = 0.3, .AskPeriod = 1, .ReadPeriod = 0.15};
 /// The tables that are followed; the nodes' table is read once.
 constexpr std::array<Table, 2> Followed = {Table::Operator, Table::Endpoints};
 /// A read that only confirms what is known, or that the store is back.
@@ -90,7 +94,7 @@
       Freshness.noteClaim(Claim.StoreTime, Now);
       Own.Ahead.reset();
     } else {
-      Own.Ahead = Peer;
+      Own.Ahead = {Peer, Claim.StoreTime};
     }
   }
 
@@ -125,13 +129,18 @@
   TimePoint storeRegainedAt() const override { return RegainedAt_; }
 
 private:
+  /// A node that holds rows which this one lacks.
+  struct MoreCurrentNode {
+    http::Address Where;
+    Duration StoreTime{0}; ///< at which its copy was complete
+  };
+
   /// A table as this node holds it.
   struct Copy {
     RowMirror Mirror;
     /// The store's clock at its last answer.
     std::optional<Duration> ReadAt;
-    /// A node whose copy is more current, and holds rows that this one lacks.
-    std::optional<http::Address> Ahead;
+    std::optional<MoreCurrentNode> Ahead;
     BootTime TriedAt; ///< the last time that a refresh was due
     bool Confirming = false;
     bool IsCurrent = true; ///< as logged
@@ -144,7 +153,7 @@
   RowMirror &mirror(Table Which) { return copy(Which).Mirror; }
   const RowMirror &mirror(Table Which) const { return copy(Which).Mirror; }
 
-  catalog::TableFreshness &freshness(Table Which) {
+  catalog::TableFreshness &freshness(Table Which) const {
     return Which == Table::Operator ? State_.OperatorFreshness
                                     : State_.EndpointFreshness;
   }
@@ -163,16 +172,40 @@
     Copy &Own = copy(Which);
     const auto SinceTried =
         std::chrono::duration_cast<Duration>(Now - Own.TriedAt);
+    const bool Vouches = vouchWait().has_value();
     if (catalog::nextRefresh(Age, Bound, Duration(0), SinceTried,
-                             CopyRefresh) != catalog::Refresh::ReadStore)
+                             Vouches ? VoucherRefresh : CopyRefresh) !=
+        catalog::Refresh::ReadStore)
       return;
     Own.TriedAt = Now;
-    const double Share = catalog::readShare(State_.Nodes->possibleNodes(),
-                                            Own.Ahead.has_value());
+    const double Share = Vouches
+                             ? 1
+                             : catalog::readShare(State_.Nodes->possibleNodes(),
+                                                  isOtherCurrent(Which, Now));
     if (std::bernoulli_distribution(Share)(State_.Random))
       startConfirm(Which);
   }
 
+  /// Whether a node that holds rows which this one lacks is current.
+  bool isOtherCurrent(Table Which, BootTime Now) const {
+    const Copy &Own = copy(Which);
+    return Own.Ahead && freshness(Which).isClaimWithin(
+                            Own.Ahead->StoreTime,
+                            std::chrono::duration_cast<Duration>(
+                                boundOf(Which) * CopyRefresh.ReadFrom),
+                            Now);
+  }
+
+  /// How long this node's calls wait for changes, in parts of the bound, if it
+  /// vouches for the others' copies.
+  std::optional<double> vouchWait() const {
+    const auto Better =
+        static_cast<std::size_t>(State_.Nodes->betterFollowers());
+    if (!State_.Nodes->isFollowing() || Better >= VouchWaits.size())
+      return std::nullopt;
+    return VouchWaits.at(Better);
+  }
+
   void noteAge(Table Which, std::optional<Duration> Age, Duration Bound) {
     const bool IsCurrent = Age && *Age <= Bound;
     if (IsCurrent == copy(Which).IsCurrent)
@@ -201,9 +234,9 @@
       if (ReadAll)
         Result = co_await Store_.readAll(Which);
       else
-        Result = co_await Store_.waitForChanges(Which, mirror(Which).version(),
-                                                HasFailed ? NoWait
-                                                          : followWait(Which));
+        Result = co_await Store_.waitForChanges(
+            Which, mirror(Which).completeVersion(),
+            HasFailed ? NoWait : followWait(Which));
       noteAnswer(Which, Result);
       HasFailed = Result.Status != StoreStatus::Ok;
       if (Result.Status == StoreStatus::Ok) {
@@ -261,8 +294,8 @@
     copy(Which).Confirming = true;
     const BootTime SentAt = BootClock::now();
     bool ReadAll = false;
-    StoreRows Result =
-        co_await Store_.waitForChanges(Which, mirror(Which).version(), NoWait);
+    StoreRows Result = co_await Store_.waitForChanges(
+        Which, mirror(Which).completeVersion(), NoWait);
     if (Result.Status == StoreStatus::HistoryGone) {
       ReadAll = true;
       Result = co_await Store_.readAll(Which);
@@ -276,7 +309,7 @@
       Line.field("table", nameOf(Which)).field("reason", Result.Reason);
     });
     if (copy(Which).Ahead)
-      fetchFrom(Which, *copy(Which).Ahead);
+      fetchFrom(Which, copy(Which).Ahead->Where);
   }
 
   /// Whether this node follows the table at the store. The endpoints' table
