Move the broadcast of rows out of the node network

Change: RowBroadcast collects, splits and paces rows for all nodes; a follower that is turned away by the store keeps the long wait for the operator's table, too (one rule for both, vouchWait).

--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -3,7 +3,7 @@
 #include "cassiashed/base/event_log.h"
 #include "cassiashed/base/hash.h"
 #include "gateway/peer_table.h"
-#include "gateway/send_pacer.h"
+#include "gateway/row_broadcast.h"
 #include "http/asio.h"
 #include <algorithm>
 #include <array>
@@ -36,14 +36,6 @@
 /// Below the size that fits one Ethernet frame, so that no datagram is split.
 constexpr std::size_t MaxItemsPerMessage = 30;
 constexpr std::size_t MaxKnownNodes = 32;
-/// Rows and what surrounds them fit one frame: a message in several is lost
-/// with any of them.
-constexpr std::size_t MaxRowBytesPerMessage = 900;
-/// Part of the own link that rows for all nodes may take; the rest is for
-/// requests.
-constexpr double PacedLinkPart = 0.5;
-/// Between two parts of rows for all nodes.
-constexpr Duration PacePeriod{5};
 /// Nodes that follow tables for all: enough that some are left when a zone and
 /// a third of the other nodes lose the store at once.
 constexpr int FollowerCount = 4;
@@ -63,12 +55,6 @@
 /// Freshness questions whose answers are still taken.
 constexpr std::size_t OpenFreshnessQuestions = 8;
 
-SendPacerOptions pacerOptions(double LinkMbps) {
-  SendPacerOptions Options;
-  Options.BytesPerSecond = LinkMbps * 1e6 / 8 * PacedLinkPart;
-  return Options;
-}
-
 /// Messages that the system did not take, and what was logged of them.
 struct Unsent {
   std::uint64_t Total = 0;
@@ -85,8 +71,8 @@
         Peers_(Options_.Internal.Host,
                {Options_.CpuShare, hashBytes(Options_.Name)}),
         StartedAt_(now()), Socket_(Context), Heartbeat_(Context),
-        Collect_(Context), Pace_(Context),
-        Pacer_(pacerOptions(Options_.LinkMbps)) {}
+        Collect_(Context),
+        RowBroadcast_(Context, Options_.LinkMbps, broadcastHooks()) {}
 
   bool open(std::string &Reason) {
     Code Failure;
@@ -214,32 +200,7 @@
     sendToAll(Message);
   }
   void announceEndpointRows(const RowBatch &Batch) override {
-    // Changes that come faster than the link takes them are sent together.
-    if (!Pacer_.empty()) {
-      RowsWaitAfter_ =
-          std::min(RowsWaitAfter_.value_or(Batch.After), Batch.After);
-      return;
-    }
-    NodeMessage Message = makeMessage();
-    Message.RowsAfter = Batch.After;
-    std::size_t Bytes = 0;
-    for (const catalog::Row &Each : Batch.Rows) {
-      const std::size_t RowBytes = Each.Key.size() + Each.Value.size();
-      if (Bytes > 0 && Bytes + RowBytes > MaxRowBytesPerMessage) {
-        Message.RowsUpTo =
-            std::min(Batch.UpTo, Message.EndpointRows.back().Version);
-        paceToAll(Message);
-        Message.RowsAfter = Message.RowsUpTo;
-        Message.EndpointRows.clear();
-        Bytes = 0;
-      }
-      Bytes += RowBytes;
-      Message.EndpointRows.push_back(
-          {Each.Key, Each.Value, Each.Version, Each.Removed});
-    }
-    Message.RowsUpTo = Batch.UpTo;
-    paceToAll(Message);
-    sendPaced();
+    RowBroadcast_.announce(Batch);
   }
 
   int possibleNodes() const override { return Peers_.possibleCount(); }
@@ -247,6 +208,15 @@
   std::uint64_t unsentMessages() const override { return Unsent_.Total; }
 
 private:
+  RowBroadcastHooks broadcastHooks() {
+    return {[this] { return makeMessage(); }, [this] { return allInTurn(); },
+            [this](const std::string &Bytes, const Udp::endpoint &Where) {
+              send(Bytes, Where);
+            },
+            [this](std::uint64_t After) {
+              return Events_.EndpointRowsAfter(After);
+            }};
+  }
   static TimePoint now() { return std::chrono::steady_clock::now(); }
   bool knowsWork() const { return now() - StartedAt_ > KnowsWorkAfter; }
 
@@ -579,34 +549,6 @@
     for (const Udp::endpoint &Each : allInTurn())
       send(Bytes, Each);
   }
-  void paceToAll(const NodeMessage &Message) {
-    const auto Bytes =
-        std::make_shared<const std::string>(packMessage(Message));
-    for (const Udp::endpoint &Each : allInTurn())
-      Pacer_.add(Bytes, Each);
-  }
-  void sendPaced() {
-    for (const PacedMessage &Each : Pacer_.takeDue(now()))
-      send(*Each.Bytes, Each.Where);
-    if (Pacer_.empty()) {
-      sendWaitingRows();
-      return;
-    }
-    Pace_.expires_after(PacePeriod);
-    Pace_.async_wait([this](Code Failure) {
-      if (!Failure)
-        sendPaced();
-    });
-  }
-  void sendWaitingRows() {
-    if (!RowsWaitAfter_)
-      return;
-    const RowBatch Batch = Events_.EndpointRowsAfter(*RowsWaitAfter_);
-    RowsWaitAfter_.reset();
-    // A whole table does not go by messages; nodes that lack it ask for it.
-    if (!Batch.Whole)
-      announceEndpointRows(Batch);
-  }
   void sendToBest(const NodeMessage &Message) {
     const std::string Bytes = packMessage(Message);
     for (const Peer *Each : Peers_.best(PlacerReserve))
@@ -652,10 +594,7 @@
   std::array<char, 16 * 1024> Received_{};
   asio::steady_timer Heartbeat_;
   asio::steady_timer Collect_;
-  asio::steady_timer Pace_;
-  SendPacer Pacer_; ///< of rows for all nodes
-  /// Rows after this version wait until those before them are sent.
-  std::optional<std::uint64_t> RowsWaitAfter_;
+  RowBroadcast RowBroadcast_;
   int BeatCount_ = 0;
   bool Collecting_ = false;
   bool CatchingUp_ = false;
--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -20,8 +20,8 @@
 /// it every node does: followers that a silent store turns away would hold up
 /// a change for all until their calls time out.
 constexpr int OperatorFollowersFrom = 100;
-/// Where keys are refused that nobody can vouch for, one node hears from the
-/// store this often, in parts of the bound; the others ask it.
+/// Where keys are refused that nobody can vouch for, the followers that vouch
+/// hear from the store this often at least, in parts of the bound.
 constexpr double ConfirmPart = 0.2;
 /// How long the store holds calls open of the two followers that vouch for the
 /// others' copies, in parts of the bound on changes of the table.
@@ -272,13 +272,12 @@
 
   Duration followWait(Table Which) const {
     const GatewayBounds &Bounds = State_.Settings.Bounds;
-    const auto Better =
-        static_cast<std::size_t>(State_.Nodes->betterFollowers());
-    if (Better >= VouchWaits.size())
+    const std::optional<double> Part = vouchWait();
+    if (!Part)
       return FollowWait;
-    Duration Wait = std::chrono::duration_cast<Duration>(boundOf(Which) *
-                                                         VouchWaits.at(Better));
-    if (Which == Table::Operator && Bounds.RevokeFailClosed && Better == 0)
+    Duration Wait =
+        std::chrono::duration_cast<Duration>(boundOf(Which) * *Part);
+    if (Which == Table::Operator && Bounds.RevokeFailClosed)
       Wait = std::min(Wait, std::chrono::duration_cast<Duration>(Bounds.Revoke *
                                                                  ConfirmPart));
     return Wait;
@@ -405,8 +404,6 @@
           .field("reason", Reason);
       co_return;
     }
-    // The store's own version is not advanced: its feed repeats these rows,
-    // which are then known.
     report(Which, mirror(Which).mergePassedOn(std::move(*Batch)), From);
   }
 
