Log what stood against a placement and what an admission weighed

Callers saw prompts above 202,000 tokens refused as all_busy and costs_others.

placement_failed names the obstacle and the emptiest engine's memory and is written by nodes that decide alone, too; admission_refused names gain, losses and engines; request_refused carries the work's number that links them; cassiashed_prompts_total counts by route, size band and outcome.

--- a/include/cassiashed/balancing/admission.h
+++ b/include/cassiashed/balancing/admission.h
@@ -20,6 +20,10 @@
   double MaxWaitPart = 0.35;
 };
 
+/// Value that a request earns if it is sent as chosen.
+double gainOf(const Dispatch &Chosen, const PlacementRequest &Work,
+              const AdmissionOptions &Options = {});
+
 /// Load: more work than the engines can do for some seconds. Requests that
 /// cost others more than they gain are refused at once. Those that will be
 /// late anyway wait at the node while engines are busy, so that those which
--- a/include/cassiashed/balancing/dispatcher.h
+++ b/include/cassiashed/balancing/dispatcher.h
@@ -48,6 +48,8 @@
   /// Engines admit it before waiting requests that will be late.
   bool Urgent = true;
   DispatchFailure Failure = DispatchFailure::None;
+  /// What stood against engines, with `AllBusy`.
+  PlacementObstacle Obstacle = PlacementObstacle::None;
   Duration RetryAfter{0}; ///< when a refused request should come back
 };
 
--- a/include/cassiashed/balancing/placement.h
+++ b/include/cassiashed/balancing/placement.h
@@ -3,6 +3,7 @@
 #include "cassiashed/engine/engine_timeline.h"
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 /// Which engines run a request.
@@ -58,15 +59,26 @@
   double LossToLater = 0;        ///< value lost by requests still to come
 };
 
+/// What stood against the last choice of engines that was tried.
+enum class PlacementObstacle {
+  None,
+  Helpers, ///< too few engines may help
+  Memory,  ///< the engines have too little free memory
+  Time     ///< the first token would come after the deadline
+};
+std::string_view nameOf(PlacementObstacle Obstacle);
+
 /// Chooses the engines with the least loss of value. Load: prompts of very
 /// different lengths on the same engines; a long prompt is split over as many
 /// engines as keeps the pauses of the streams there within their limits.
-/// Returns nothing if no engine has the memory.
+/// Returns nothing if no engines have the memory; `Obstacle` then says what
+/// stood against the last choice.
 std::optional<Placement>
 choosePlacement(const PlacementRequest &Request,
                 const std::vector<EngineCandidate> &Candidates,
                 const engine::EngineSpec &Spec, TimePoint Now,
-                const PlacementOptions &Options = {});
+                const PlacementOptions &Options = {},
+                PlacementObstacle *Obstacle = nullptr);
 
 /// The job that a part of a placed request is at its engine.
 engine::EngineJob makeJob(const PlacementRequest &Request,
--- a/src/balancing/dispatcher.cpp
+++ b/src/balancing/dispatcher.cpp
@@ -145,14 +145,18 @@
   }
   PlacementRequest Work = Request.Work;
   Work.Urgent = true;
-  auto Chosen = choosePlacement(Work, Engines, Spec, Now);
+  auto Chosen = choosePlacement(Work, Engines, Spec, Now, {}, &Result.Obstacle);
   if (Chosen && Chosen->FirstTokenMs > Work.FirstTokenMs) {
     // Late ones are admitted last, so their place is predicted that way too.
     Work.Urgent = false;
-    Chosen = choosePlacement(Work, Engines, Spec, Now);
+    Chosen = choosePlacement(Work, Engines, Spec, Now, {}, &Result.Obstacle);
   }
   if (!Chosen || Chosen->FirstTokenMs >= Request.Work.DeadlineMs) {
     Result.Failure = DispatchFailure::AllBusy;
+    if (Chosen) {
+      Result.Obstacle = PlacementObstacle::Time;
+      Result.FirstTokenMs = Chosen->FirstTokenMs;
+    }
     Result.RetryAfter = BusyRetry;
     return Result;
   }
--- a/src/balancing/placement.cpp
+++ b/src/balancing/placement.cpp
@@ -142,11 +142,18 @@
   return Job;
 }
 
+std::string_view nameOf(PlacementObstacle Obstacle) {
+  static constexpr std::array<std::string_view, 4> Names = {"none", "helpers",
+                                                            "memory", "time"};
+  return Names[static_cast<std::size_t>(Obstacle)];
+}
+
 std::optional<Placement>
 choosePlacement(const PlacementRequest &Request,
                 const std::vector<EngineCandidate> &Candidates,
                 const EngineSpec &Spec, TimePoint Now,
-                const PlacementOptions &Options) {
+                const PlacementOptions &Options, PlacementObstacle *Obstacle) {
+  PlacementObstacle Last = PlacementObstacle::None;
   std::optional<Placement> Best;
   std::vector<Assessment> Ranked(Candidates.size());
   const double Share = longReadShare(Candidates, Now);
@@ -199,8 +206,10 @@
       Option.FirstTokenMs = std::max(Option.FirstTokenMs, Each.FirstTokenMs);
       Option.Loss += Each.Loss;
     }
-    if (Option.Parts.size() < Size)
+    if (Option.Parts.size() < Size) {
+      Last = PlacementObstacle::Helpers;
       continue;
+    }
     // The engine with the most free memory keeps the prompt.
     const auto Roomiest = std::max_element(
         Option.Parts.begin(), Option.Parts.end(),
@@ -210,8 +219,10 @@
         });
     if (Size > 1)
       std::iter_swap(Option.Parts.begin(), Roomiest);
-    if (!assignMemory(Request, Candidates, Spec, Options, Option.Parts))
+    if (!assignMemory(Request, Candidates, Spec, Options, Option.Parts)) {
+      Last = PlacementObstacle::Memory;
       continue;
+    }
     Option.LossToOthers = Option.Loss;
     Option.LossToLater = LossToLater;
     Option.Loss +=
@@ -220,6 +231,8 @@
     if (!Best || Option.Loss < Best->Loss)
       Best = std::move(Option);
   }
+  if (Obstacle)
+    *Obstacle = Best ? PlacementObstacle::None : Last;
   return Best;
 }
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "cassiashed/balancing/stop_window.h"
 #include "cassiashed/base/hash.h"
+#include "gateway/placement_log.h"
 #include "http/peek.h"
 
 namespace cassiashed::gateway {
@@ -202,6 +203,10 @@
       !Decision.Chosen.Endpoints.empty())
     Decision.Next = balancing::decideAdmission(
         Decision.Chosen, Wanted_.Work, Context.WaitedMs, Context.TotalMs);
+  if (Service_->Engine && Decision.Chosen.Endpoints.empty())
+    logPlacementFailure(State_, Wanted_, Decision.Chosen, Now);
+  if (Decision.Next == balancing::Admission::Refuse)
+    logAdmissionRefusal(State_, Wanted_, Decision.Chosen, Now);
   std::uniform_int_distribution<int> Spread(WaitStepMinMs, WaitStepMaxMs);
   Decision.LookAgain = Duration(Spread(State_.Random));
   return Decision;
@@ -340,11 +345,14 @@
                                              : "broken_off";
   State_.Metrics->countOutcome(
       Route_ ? catalog::nameOf(Route_->Kind) : "unrouted", Outcome_);
+  if (Service_ && Service_->Engine)
+    State_.Metrics->countPrompt(Route_->Name, Head_.PromptTokens, Outcome_);
   State_.Log.write("request_ended", State_.now(), [&](LogLine &Line) {
     Line.field("id", Head_.AttemptId)
         .field("route", Route_ ? Route_->Name : "none")
         .field("workspace", Workspace_ ? Workspace_->Name : "none")
         .field("outcome", Outcome_)
+        .field("prompt_tokens", Head_.PromptTokens)
         .field("attempts", Sends_)
         .field("longest_pause_ms", LongestPause_.count())
         .field("took_ms", std::chrono::duration_cast<Duration>(
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -181,6 +181,7 @@
     Line.field("id", Head_.AttemptId)
         .field("status", Status)
         .field("reason", Reason)
+        .field("work", Wanted_.Work.Id)
         .field("attempts", Sends_)
         .field("prompt_tokens", Head_.PromptTokens)
         .field("waited_ms", std::chrono::duration_cast<Duration>(
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_metrics.h"
 
+#include "cassiashed/balancing/size_band.h"
 #include <cmath>
 #include <map>
 #include <prometheus/counter.h>
@@ -14,8 +15,20 @@
 namespace {
 
 /// prometheus-cpp keeps every label set for the life of the process, so only
-/// the first workspaces get a histogram of their own.
+/// the first workspaces and routes get labels of their own.
 constexpr std::size_t MaxWorkspaces = 20;
+constexpr std::size_t MaxRoutes = 20;
+
+/// `Name` if it is among the first `Most` names, `other` if not.
+std::string boundedLabel(std::set<std::string> &Known, std::string_view Name,
+                         std::size_t Most) {
+  std::string Label(Name);
+  if (Known.count(Label) != 0 || Known.size() < Most) {
+    Known.insert(Label);
+    return Label;
+  }
+  return "other";
+}
 
 const prometheus::Histogram::BucketBoundaries FirstByteMs = {
     10, 25, 50, 100, 150, 200, 300, 500, 1000, 1500, 3000, 6000, 15000};
@@ -31,20 +44,26 @@
         .Add({{"kind", std::string(Kind)}, {"outcome", std::string(Outcome)}})
         .Increment();
   }
+  void countPrompt(std::string_view Route, double PromptTokens,
+                   std::string_view Outcome) override {
+    const double From =
+        balancing::sizeBandStart(balancing::sizeBandOf(PromptTokens));
+    Prompts_
+        .Add({{"route", boundedLabel(Routes_, Route, MaxRoutes)},
+              {"from_tokens", std::to_string(static_cast<int>(From))},
+              {"outcome", std::string(Outcome)}})
+        .Increment();
+  }
   void countAttempt(std::string_view Result) override {
     Attempts_.Add({{"result", std::string(Result)}}).Increment();
   }
   void observeFirstByte(std::string_view Kind, std::string_view Workspace,
                         Duration Delay) override {
-    std::string Label(Workspace);
-    if (Workspaces_.count(Label) == 0) {
-      if (Workspaces_.size() < MaxWorkspaces)
-        Workspaces_.insert(Label);
-      else
-        Label = "other";
-    }
     FirstBytes_
-        .Add({{"kind", std::string(Kind)}, {"workspace", Label}}, FirstByteMs)
+        .Add({{"kind", std::string(Kind)},
+              {"workspace",
+               boundedLabel(Workspaces_, Workspace, MaxWorkspaces)}},
+             FirstByteMs)
         .Observe(static_cast<double>(Delay.count()));
   }
   void observePrediction(double PredictedMs, double SeenMs) override {
@@ -81,6 +100,12 @@
           .Name("cassiashed_requests_total")
           .Help("Requests by kind and outcome")
           .Register(Registry_);
+  prometheus::Family<prometheus::Counter> &Prompts_ =
+      prometheus::BuildCounter()
+          .Name("cassiashed_prompts_total")
+          .Help("Requests of model services by route, size of the prompt and "
+                "outcome")
+          .Register(Registry_);
   prometheus::Family<prometheus::Counter> &Attempts_ =
       prometheus::BuildCounter()
           .Name("cassiashed_attempts_total")
@@ -105,6 +130,7 @@
           .Add({}, NewsAgeMs);
   std::map<std::string, prometheus::Gauge *, std::less<>> Gauges_;
   std::set<std::string> Workspaces_;
+  std::set<std::string> Routes_;
 };
 
 } // namespace
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -14,6 +14,10 @@
 
   virtual void countOutcome(std::string_view Kind,
                             std::string_view Outcome) = 0;
+  /// Counts a request of a model service by its route and the size of its
+  /// prompt.
+  virtual void countPrompt(std::string_view Route, double PromptTokens,
+                           std::string_view Outcome) = 0;
   virtual void countAttempt(std::string_view Result) = 0;
   virtual void observeFirstByte(std::string_view Kind,
                                 std::string_view Workspace, Duration Delay) = 0;
--- /dev/null
+++ b/src/gateway/placement_log.cpp
@@ -0,0 +1,56 @@
+#include "gateway/placement_log.h"
+
+#include "cassiashed/balancing/admission.h"
+#include <algorithm>
+
+namespace cassiashed::gateway {
+
+void logPlacementFailure(GatewayState &State,
+                         const balancing::DispatchRequest &Wanted,
+                         const balancing::Dispatch &Chosen, TimePoint Now) {
+  State.Log.write("placement_failed", Now, [&](LogLine &Line) {
+    const engine::EngineSpec &Spec = *Wanted.Target->Engine;
+    std::size_t Engines = 0;
+    std::size_t Doubtful = 0;
+    double FreeTokens = 0;
+    double MostFree = 0;
+    for (const catalog::EndpointRef &Each :
+         State.Directory.usable(Wanted.Target->Name)) {
+      ++Engines;
+      if (State.Health.doubt(Each->Number, Now) >= balancing::MaxHelperDoubt)
+        ++Doubtful;
+      const double Free = std::max(
+          0.0, Spec.MemoryTokens -
+                   State.Load.timeline(Each->Entry.Id, Spec).memoryInUse());
+      FreeTokens += Free;
+      MostFree = std::max(MostFree, Free);
+    }
+    Line.field("work", Wanted.Work.Id)
+        .field("failure", balancing::nameOf(Chosen.Failure))
+        .field("obstacle", balancing::nameOf(Chosen.Obstacle))
+        .field("prompt_tokens", Wanted.Work.PromptTokens)
+        .field("predicted_ms", static_cast<int>(Chosen.FirstTokenMs))
+        .field("left_ms", static_cast<int>(Wanted.Work.DeadlineMs))
+        .field("engines", Engines)
+        .field("doubtful", Doubtful)
+        .field("free_tokens", FreeTokens)
+        .field("most_free_tokens", MostFree);
+  });
+}
+
+void logAdmissionRefusal(GatewayState &State,
+                         const balancing::DispatchRequest &Wanted,
+                         const balancing::Dispatch &Chosen, TimePoint Now) {
+  State.Log.write("admission_refused", Now, [&](LogLine &Line) {
+    Line.field("work", Wanted.Work.Id)
+        .field("prompt_tokens", Wanted.Work.PromptTokens)
+        .field("gain", balancing::gainOf(Chosen, Wanted.Work))
+        .field("loss_others", Chosen.LossToOthers)
+        .field("loss_later", Chosen.LossToLater)
+        .field("engines", Chosen.Endpoints.size())
+        .field("predicted_ms", static_cast<int>(Chosen.FirstTokenMs))
+        .field("left_ms", static_cast<int>(Wanted.Work.DeadlineMs));
+  });
+}
+
+} // namespace cassiashed::gateway
--- a/src/gateway/shared_placement.cpp
+++ b/src/gateway/shared_placement.cpp
@@ -1,5 +1,7 @@
 #include "gateway/shared_placement.h"
 
+#include "gateway/placement_log.h"
+
 namespace cassiashed::gateway {
 namespace {
 
@@ -122,33 +124,6 @@
   State_.Nodes->answer(Host, decide(Question, Host, Origin));
 }
 
-void SharedPlacement::logFailure(const balancing::DispatchRequest &Wanted,
-                                 const balancing::Dispatch &Chosen,
-                                 TimePoint Now) {
-  State_.Log.write("placement_failed", Now, [&](LogLine &Line) {
-    const engine::EngineSpec &Spec = *Wanted.Target->Engine;
-    std::size_t Engines = 0;
-    std::size_t Doubtful = 0;
-    double FreeTokens = 0;
-    for (const catalog::EndpointRef &Each :
-         State_.Directory.usable(Wanted.Target->Name)) {
-      ++Engines;
-      if (State_.Health.doubt(Each->Number, Now) >= balancing::MaxHelperDoubt)
-        ++Doubtful;
-      FreeTokens += std::max(
-          0.0, Spec.MemoryTokens -
-                   State_.Load.timeline(Each->Entry.Id, Spec).memoryInUse());
-    }
-    Line.field("work", Wanted.Work.Id)
-        .field("failure", balancing::nameOf(Chosen.Failure))
-        .field("prompt_tokens", Wanted.Work.PromptTokens)
-        .field("left_ms", static_cast<int>(Wanted.Work.DeadlineMs))
-        .field("engines", Engines)
-        .field("doubtful", Doubtful)
-        .field("free_tokens", FreeTokens);
-  });
-}
-
 PlacementAnswer SharedPlacement::decide(const PlacementQuestion &Question,
                                         const std::string &Host,
                                         std::uint32_t Origin) {
@@ -176,7 +151,7 @@
   Answer.Failure = static_cast<std::uint32_t>(Chosen.Failure);
   Answer.RetryAfterMs = static_cast<double>(Chosen.RetryAfter.count());
   if (Chosen.Endpoints.empty()) {
-    logFailure(Wanted, Chosen, Now);
+    logPlacementFailure(State_, Wanted, Chosen, Now);
     return Answer;
   }
   Answer.FirstTokenMs = Chosen.FirstTokenMs;
@@ -191,6 +166,8 @@
   Answer.Next = static_cast<std::uint32_t>(Next);
   if (Next == balancing::Admission::Wait)
     Answer.LookAgainMs = static_cast<double>(Pace_.next(Now).count());
+  if (Next == balancing::Admission::Refuse)
+    logAdmissionRefusal(State_, Wanted, Chosen, Now);
   if (Next != balancing::Admission::Send)
     return Answer;
   balancing::Assignment Work;
--- a/src/gateway/shared_placement.h
+++ b/src/gateway/shared_placement.h
@@ -62,10 +62,6 @@
   std::optional<PlacementDecision> accept(const PlacementAnswer &Answer,
                                           const std::string &Placer) const;
 
-  /// Says what stood against a placement.
-  void logFailure(const balancing::DispatchRequest &Wanted,
-                  const balancing::Dispatch &Chosen, TimePoint Now);
-
   GatewayState &State_;
   balancing::RecheckPace Pace_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Open>> Open_;
