Reserve memory for long prompts in whole tokens above the need

Callers saw most prompts that need the memory of a second engine (above 202,000 tokens on the large site) refused as all_busy after 20 ms while engines stood empty. So such a prompt fitted only where the fractions happened to vanish.

Test that failed first: "a prompt of any length fits into the free memory of empty engines" (208,416 + 384.01 tokens on 12 empty engines).

--- a/src/balancing/placement.cpp
+++ b/src/balancing/placement.cpp
@@ -88,6 +88,9 @@
          Options.UsableMemory;
 }
 
+/// Tokens below which a reservation is not worth its call.
+constexpr double LeastReservation = 1000;
+
 /// Distributes the memory of the request: reservations at the helpers, the
 /// rest at the first engine. Returns false if it does not fit.
 bool assignMemory(const PlacementRequest &Request,
@@ -102,11 +105,13 @@
       freeMemory(Candidates[Parts.front().Candidate], Spec, Options);
   double Rest = Needed;
   for (std::size_t Index = 1; Index < Parts.size() && Rest > AtFirst; ++Index) {
-    const double Free =
-        freeMemory(Candidates[Parts[Index].Candidate], Spec, Options);
-    const double Taken = std::floor(std::min(Free, Rest - AtFirst));
-    if (Taken < 1000)
-      continue; // too little to be worth a reservation
+    const double Free = std::floor(
+        freeMemory(Candidates[Parts[Index].Candidate], Spec, Options));
+    if (Free < LeastReservation)
+      continue;
+    // Reservations are in whole tokens; a fraction would be left over.
+    const double Taken =
+        std::min(Free, std::max(LeastReservation, std::ceil(Rest - AtFirst)));
     Parts[Index].ReservedTokens = Taken;
     Parts[Index].MemoryTokens = Taken;
     Rest -= Taken;
--- a/src/balancing/placement_test.cpp
+++ b/src/balancing/placement_test.cpp
@@ -2,8 +2,10 @@
 
 #include "cassiashed/balancing/fleet_load.h"
 #include <algorithm>
+#include <cmath>
 #include <doctest/doctest.h>
 #include <memory>
+#include <rapidcheck.h>
 
 using namespace cassiashed;
 using namespace cassiashed::balancing;
@@ -143,6 +145,33 @@
   CHECK(Memory >= 500700 - 1);
 }
 
+// Guards against long prompts that fit nowhere beside empty engines.
+TEST_CASE("a prompt of any length fits into the free memory of empty engines") {
+  const Fleet All(12);
+  const double Planned =
+      All.Spec.MemoryTokens * PlacementOptions().UsableMemory;
+  CHECK(rc::check([&] {
+    PlacementRequest Request = makeLong(1, *rc::gen::inRange(1000, 1'200'000));
+    Request.OutputTokens = *rc::gen::inRange(100, 300'000) / 128.0;
+    PlacementObstacle Obstacle = PlacementObstacle::None;
+    const auto Chosen = choosePlacement(Request, All.candidates(), All.Spec,
+                                        All.Now, {}, &Obstacle);
+    RC_ASSERT(Chosen);
+    RC_ASSERT(Obstacle == PlacementObstacle::None);
+    double Memory = 0;
+    for (const PlacedPart &Part : Chosen->Parts) {
+      RC_ASSERT(Part.MemoryTokens <= Planned);
+      Memory += Part.MemoryTokens;
+    }
+    RC_ASSERT(Memory >= Request.PromptTokens + Request.OutputTokens);
+    for (std::size_t Index = 1; Index < Chosen->Parts.size(); ++Index) {
+      const double Reserved = Chosen->Parts[Index].ReservedTokens;
+      RC_ASSERT(Reserved == std::floor(Reserved));
+      RC_ASSERT(Reserved == 0 || Reserved >= 1000);
+    }
+  }));
+}
+
 TEST_CASE("a prompt above the memory of all engines is not placed") {
   Fleet All(2);
   CHECK_FALSE(All.place(makeLong(1, 500000)));
