--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -145,12 +145,19 @@
     State_.Cold.noteSent(Peer->Number, Now);
   SentAt_ = Now;
   State_.expectFirstToken(*Peer, Chosen.FirstTokenMs);
+  std::string Helpers;
+  for (std::size_t Index = 1; Index < Chosen.Endpoints.size(); ++Index) {
+    if (!Helpers.empty())
+      Helpers += ',';
+    Helpers += Chosen.Endpoints[Index]->Entry.Id;
+  }
   State_.Log.write("attempt_sent", Now, [&](LogLine &Line) {
     Line.field("id", Head_.AttemptId)
         .field("attempt", Sends_)
         .field("service", Service_->Name)
         .field("endpoint", Peer->Entry.Id)
         .field("engines", Chosen.Endpoints.size())
+        .field("helpers", Helpers)
         .field("prompt_tokens", Wanted_.Work.PromptTokens)
         .field("predicted_ms", static_cast<int>(Chosen.FirstTokenMs))
         .field("loss_others", Chosen.LossToOthers)
