Keep a reservation whose report is older than its answer

Callers saw streams of the largest prompts (above one engine's memory) break about 2 s after their first token, often twice. A node asks the engines that hold reserved memory once a second whether it is used. Their reports are some hundred ms old; one from before the first token says held, which the node took, together with the answer that had begun since, for a request that is over, and gave the memory back. The engine then cut the stream off. Class: knowledge of some time ago taken for the present.

A report that says held ends a reservation only if an earlier report said used, or if it was asked for a second after the answer began.

--- a/include/cassiashed/balancing/reservation_use.h
+++ b/include/cassiashed/balancing/reservation_use.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cassiashed/base/clock.h"
 #include <cstdint>
 
 namespace cassiashed::balancing {
@@ -12,24 +13,35 @@
   Used,
 };
 
+/// Age that an engine's report may have: it says of some hundred milliseconds
+/// ago what it holds.
+inline constexpr Duration OldestReport{1000};
+
 /// Whether the request of a reservation still needs it. Load: the engine that
 /// writes the answer goes dark; its node waits for an answer for seconds, and
 /// renewals meanwhile would keep memory that no request uses.
 ///
 /// ```cpp
-/// Use.noteState(ReservationState::Used);
-/// Use.noteState(ReservationState::Held);
+/// Use.noteState(ReservationState::Used, Now);
+/// Use.noteState(ReservationState::Held, Now + Renewal);
 /// Use.isOver(); // true
 /// ```
 class ReservationUse {
 public:
-  /// The answer has begun, so the memory is in use since before.
-  void noteBegun() { Begun_ = true; }
-  void noteState(ReservationState State) {
-    if (State == ReservationState::Used)
-      Begun_ = true;
+  /// The answer has begun, so the memory is in use since before `Now`.
+  void noteBegun(TimePoint Now) {
+    if (!Begun_)
+      BegunAt_ = Now;
+    Begun_ = true;
+  }
+  /// Takes in a report that was asked for at `AskedAt`.
+  void noteState(ReservationState State, TimePoint AskedAt) {
+    WasUsed_ = WasUsed_ || State == ReservationState::Used;
+    Begun_ = Begun_ || WasUsed_;
     Last_ = State;
-    Over_ = Begun_ && State == ReservationState::Held;
+    // A report may be older than the answer's beginning.
+    const bool IsLater = WasUsed_ || AskedAt - BegunAt_ >= OldestReport;
+    Over_ = Begun_ && IsLater && State == ReservationState::Held;
   }
   /// Whether the request may not have begun: it waits at the engine that
   /// writes its answer, or was lost with it.
@@ -41,6 +53,8 @@
 
 private:
   bool Begun_ = false;
+  TimePoint BegunAt_;
+  bool WasUsed_ = false; ///< by a report
   bool Over_ = false;
   ReservationState Last_ = ReservationState::Unknown;
 };
--- a/src/gateway/reservations.cpp
+++ b/src/gateway/reservations.cpp
@@ -44,8 +44,9 @@
   }
 
   void noteBegun() override {
+    const TimePoint Now = std::chrono::steady_clock::now();
     for (balancing::ReservationUse &Each : Uses_)
-      Each.noteBegun();
+      Each.noteBegun(Now);
   }
 
   void release() override {
@@ -85,9 +86,11 @@
   http::Task<void> noteUse(const ReservationPlan &Plan,
                            balancing::ReservationUse &Use) {
     const http::Address Engine{Plan.Host, Plan.Port};
+    const TimePoint AskedAt = std::chrono::steady_clock::now();
     const std::optional<http::Response> Reply = co_await askForReport(Engine);
     Use.noteState(Reply ? Protocol_.readReservationState(Reply->Body, Plan.Id)
-                        : balancing::ReservationState::Unknown);
+                        : balancing::ReservationState::Unknown,
+                  AskedAt);
     if (!Use.mayWaitAtWriter())
       co_return;
     const std::optional<http::Response> AtWriter =
