Trust an endpoint again when nobody waits for its answer any more

Callers saw requests of all sizes refused, late or without an answer, the largest most of all, while a third of the engines got no request. A node that sends a request expects to hear from the endpoint within the prediction and 0.9 s; after that its doubt grows by 3 a second, to the most. Only bytes from the endpoint ended it. Class: a suspicion that only its own cause can end.

What an endpoint owes is now kept by request. A request that ends, whose node ends it or whose caller leaves is owed no more, what its silence was worth becomes doubt that fades; after its deadline it is owed no more either, should the news of its end be lost.

Tests that failed first: "an endpoint is trusted again when nobody waits for it any more", "no endpoint is in doubt for an answer that is past its deadline" (doubt 4 for good).

--- a/include/cassiashed/balancing/endpoint_health.h
+++ b/include/cassiashed/balancing/endpoint_health.h
@@ -40,10 +40,15 @@
       : Options_(Options) {}
 
   void note(std::uint32_t Number, EndpointOutcome Outcome, TimePoint Now);
-  /// A request was sent whose first byte is expected within `Expected`.
-  void noteSent(std::uint32_t Number, Duration Expected, TimePoint Now);
+  /// A request was sent whose first byte is expected within `Expected`. Nobody
+  /// waits for it any more after `Longest`.
+  void noteSent(std::uint32_t Number, std::uint64_t Work, Duration Expected,
+                Duration Longest, TimePoint Now);
   /// Bytes of an answer arrived; `OwesMore` if other requests still wait.
   void noteHeard(std::uint32_t Number, bool OwesMore, TimePoint Now);
+  /// A request ended, or its caller left: the endpoint no longer owes it. What
+  /// its silence was worth becomes doubt that fades.
+  void noteEnded(std::uint32_t Number, std::uint64_t Work, TimePoint Now);
   /// 0: none; about 1: the next request will probably fail.
   double doubt(std::uint32_t Number, TimePoint Now) const;
   /// Whether the endpoint should get no request at all for now.
@@ -51,13 +56,20 @@
   void forget(std::uint32_t Number) { Records_.erase(Number); }
 
 private:
+  /// An answer that has not begun, or not ended.
+  struct Owed {
+    TimePoint HeardBy; ///< silence beyond it is suspicious
+    TimePoint GoneBy;  ///< nobody waits for it after this
+  };
   struct Record {
     double Doubt = 0;
     TimePoint At;
     TimePoint PausedUntil;
-    TimePoint HeardBy = TimePoint::max(); ///< silence beyond it is suspicious
+    std::unordered_map<std::uint64_t, Owed> Answers; ///< by work
   };
   double decayed(const Record &Entry, TimePoint Now) const;
+  /// Doubt for silence since an answer was due.
+  double quietDoubt(TimePoint HeardBy, TimePoint Now) const;
 
   EndpointHealthOptions Options_;
   std::unordered_map<std::uint32_t, Record> Records_;
--- a/src/balancing/endpoint_health.cpp
+++ b/src/balancing/endpoint_health.cpp
@@ -49,29 +49,52 @@
   Entry.Doubt = std::min(Entry.Doubt, MaxDoubt);
 }
 
-void EndpointHealth::noteSent(std::uint32_t Number, Duration Expected,
+double EndpointHealth::quietDoubt(TimePoint HeardBy, TimePoint Now) const {
+  const std::chrono::duration<double> Silence = Now - HeardBy;
+  return Options_.QuietWeight * std::max(0.0, Silence.count());
+}
+
+void EndpointHealth::noteSent(std::uint32_t Number, std::uint64_t Work,
+                              Duration Expected, Duration Longest,
                               TimePoint Now) {
   Record &Entry = Records_[Number];
-  if (Entry.HeardBy == TimePoint::max())
-    Entry.HeardBy = Now + Expected + Options_.QuietLimit;
+  std::erase_if(Entry.Answers,
+                [Now](const auto &Each) { return Each.second.GoneBy <= Now; });
+  Entry.Answers.insert(
+      {Work, {Now + Expected + Options_.QuietLimit, Now + Longest}});
 }
 
 void EndpointHealth::noteHeard(std::uint32_t Number, bool OwesMore,
                                TimePoint Now) {
-  Record &Entry = Records_[Number];
-  Entry.HeardBy = OwesMore ? Now + Options_.QuietLimit : TimePoint::max();
+  for (auto &[Work, Each] : Records_[Number].Answers)
+    Each.HeardBy = OwesMore ? Now + Options_.QuietLimit : TimePoint::max();
+}
+
+void EndpointHealth::noteEnded(std::uint32_t Number, std::uint64_t Work,
+                               TimePoint Now) {
+  const auto Found = Records_.find(Number);
+  if (Found == Records_.end())
+    return;
+  Record &Entry = Found->second;
+  const auto Answer = Entry.Answers.find(Work);
+  if (Answer == Entry.Answers.end())
+    return;
+  Entry.Doubt = std::min(MaxDoubt, decayed(Entry, Now) +
+                                       quietDoubt(Answer->second.HeardBy, Now));
+  Entry.At = Now;
+  Entry.Answers.erase(Answer);
 }
 
 double EndpointHealth::doubt(std::uint32_t Number, TimePoint Now) const {
   const auto Found = Records_.find(Number);
   if (Found == Records_.end())
     return 0;
-  double Result = decayed(Found->second, Now);
-  if (Found->second.HeardBy < Now)
-    Result +=
-        Options_.QuietWeight *
-        std::chrono::duration<double>(Now - Found->second.HeardBy).count();
-  return std::min(Result, MaxDoubt);
+  TimePoint HeardBy = TimePoint::max();
+  for (const auto &[Work, Each] : Found->second.Answers)
+    if (Each.GoneBy > Now)
+      HeardBy = std::min(HeardBy, Each.HeardBy);
+  return std::min(MaxDoubt,
+                  decayed(Found->second, Now) + quietDoubt(HeardBy, Now));
 }
 
 bool EndpointHealth::isPaused(std::uint32_t Number, TimePoint Now) const {
--- a/src/balancing/shares_test.cpp
+++ b/src/balancing/shares_test.cpp
@@ -11,6 +11,7 @@
 using namespace cassiashed;
 using namespace cassiashed::balancing;
 using std::chrono::milliseconds;
+using std::chrono::minutes;
 
 namespace {
 
@@ -109,7 +110,7 @@
 // the first of them runs into its time limit.
 TEST_CASE("an endpoint that owes answers and is silent comes into doubt") {
   EndpointHealth Health;
-  Health.noteSent(1, milliseconds(100), Start);
+  Health.noteSent(1, 7, milliseconds(100), minutes(1), Start);
   CHECK(Health.doubt(1, Start + milliseconds(500)) == 0);
   CHECK(Health.doubt(1, Start + milliseconds(1500)) > 1);
   Health.noteHeard(1, true, Start + milliseconds(1500));
@@ -119,6 +120,30 @@
   CHECK(Health.doubt(1, Start + milliseconds(9000)) == 0);
 }
 
+// Guards against endpoints that get no request for the rest of the day since a
+// caller left before its first token: nothing is heard from them any more.
+TEST_CASE("an endpoint is trusted again when nobody waits for it any more") {
+  EndpointHealth Health;
+  Health.noteSent(1, 7, milliseconds(100), minutes(1), Start);
+  Health.noteSent(1, 8, milliseconds(4000), minutes(1), Start);
+  const TimePoint Left = Start + milliseconds(2000);
+  CHECK(Health.doubt(1, Left) > 1);
+  Health.noteEnded(1, 7, Left);
+  // The silence is remembered like any other failure.
+  CHECK(Health.doubt(1, Left) > 1);
+  CHECK(Health.doubt(1, Left + milliseconds(2800)) < 2);
+  Health.noteEnded(1, 8, Left + milliseconds(2800));
+  CHECK(Health.doubt(1, Left + minutes(1)) < 0.01);
+}
+
+// Guards against the same where the news of an end is lost.
+TEST_CASE("no endpoint is in doubt for an answer that is past its deadline") {
+  EndpointHealth Health;
+  Health.noteSent(1, 7, milliseconds(100), milliseconds(10000), Start);
+  CHECK(Health.doubt(1, Start + milliseconds(9000)) > 1);
+  CHECK(Health.doubt(1, Start + milliseconds(10000)) == 0);
+}
+
 TEST_CASE("doubt about an endpoint fades and an answer lowers it") {
   EndpointHealth Health;
   Health.note(1, EndpointOutcome::Broken, Start);
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -144,7 +144,7 @@
   if (Peer->ColdUntil > Now && !IsCounted_)
     State_.Cold.noteSent(Peer->Number, Now);
   SentAt_ = Now;
-  State_.expectFirstToken(*Peer, Chosen.FirstTokenMs);
+  State_.expectFirstToken(*Peer, Wanted_.Work, Chosen.FirstTokenMs);
   std::string Helpers;
   for (std::size_t Index = 1; Index < Chosen.Endpoints.size(); ++Index) {
     if (!Helpers.empty())
@@ -184,7 +184,7 @@
     return;
   WorkActive_ = false;
   IsCounted_ = false;
-  State_.Load.finish(Wanted_.Work.Id, State_.now());
+  State_.finishWork(Wanted_.Work.Id);
   if (isWorkShared())
     State_.Nodes->announceFinish(Wanted_.Work.Id);
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -102,7 +102,7 @@
     };
     Events.FirstToken = [this](std::uint64_t Id) { noteFirstToken(Id); };
     Events.WorkFinished = [this](std::uint64_t Id) {
-      State_.Load.finish(Id, State_.now());
+      State_.finishWork(Id);
     };
     Events.Crash = [this](const CrashNote &Note) {
       State_.Crashes.noteCrash(Note.Content, Note.EndpointId, State_.now());
@@ -158,8 +158,10 @@
     const std::string *Writer = State_.Load.writerOf(Id);
     const catalog::EndpointRef Known =
         Writer ? State_.Directory.find(*Writer) : nullptr;
-    if (Known)
-      State_.Health.noteHeard(Known->Number, false, Now);
+    if (!Known)
+      return;
+    State_.Health.noteHeard(Known->Number, false, Now);
+    State_.Health.noteEnded(Known->Number, Id, Now);
   }
 
   void takeOutcome(const OutcomeNote &Note) {
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -50,10 +50,23 @@
 GatewayState::~GatewayState() = default;
 
 void GatewayState::expectFirstToken(const catalog::KnownEndpoint &Which,
+                                    const balancing::PlacementRequest &Work,
                                     double FirstTokenMs) {
-  const double Bounded = std::min(LongestExpectationMs, FirstTokenMs);
-  Health.noteSent(Which.Number, Duration(static_cast<Duration::rep>(Bounded)),
-                  now());
+  const auto ToDuration = [](double Ms) {
+    return Duration(
+        static_cast<Duration::rep>(std::clamp(Ms, 0.0, LongestExpectationMs)));
+  };
+  Health.noteSent(Which.Number, Work.Id, ToDuration(FirstTokenMs),
+                  ToDuration(Work.DeadlineMs), now());
+}
+
+void GatewayState::finishWork(std::uint64_t Id) {
+  const TimePoint Now = now();
+  const std::string *Writer = Load.writerOf(Id);
+  const catalog::EndpointRef Known = Writer ? Directory.find(*Writer) : nullptr;
+  if (Known)
+    Health.noteEnded(Known->Number, Id, Now);
+  Load.finish(Id, Now);
 }
 
 void GatewayState::noteOutcome(const catalog::KnownEndpoint &Which,
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -70,7 +70,10 @@
   int connectionShare(const catalog::KnownEndpoint &Which) const;
   /// A request was sent whose first token is predicted `FirstTokenMs` from now.
   void expectFirstToken(const catalog::KnownEndpoint &Which,
+                        const balancing::PlacementRequest &Work,
                         double FirstTokenMs);
+  /// A request ended at its endpoints.
+  void finishWork(std::uint64_t Id);
   /// Takes in how an attempt at an endpoint ended, and tells the placers.
   void noteOutcome(const catalog::KnownEndpoint &Which,
                    balancing::EndpointOutcome Outcome);
--- a/src/gateway/shared_placement.cpp
+++ b/src/gateway/shared_placement.cpp
@@ -186,7 +186,7 @@
     State_.Cold.noteSent(Writer->Number, Now);
   State_.Load.assign(Work, Now);
   State_.Nodes->announceStart(Work, Host);
-  State_.expectFirstToken(*Writer, Chosen.FirstTokenMs);
+  State_.expectFirstToken(*Writer, Wanted.Work, Chosen.FirstTokenMs);
   State_.Log.write("request_placed", Now, [&](LogLine &Line) {
     Line.field("work", Question.Id)
         .field("requester", Host)
