Place a prompt in time where engines can do so

The choice with the least loss was one that missed the deadline: it costs only the request's own value, a choice in time pauses the streams of 17 engines. Class: the same greedy choice by value, hidden as a lack of time.

Choices past the deadline are taken only if there are no others.

Test that failed first: "a prompt is placed in time where engines can do so" (5534 ms of 2500).

--- a/include/cassiashed/balancing/placement.h
+++ b/include/cassiashed/balancing/placement.h
@@ -71,7 +71,8 @@
 };
 std::string_view nameOf(PlacementObstacle Obstacle);
 
-/// Chooses the engines with the least loss of value. Load: prompts of very
+/// Chooses the engines with the least loss of value among those that produce
+/// the first token before the deadline, if there are any. Load: prompts of very
 /// different lengths on the same engines; a long prompt is split over as many
 /// engines as keeps the pauses of the streams there within their limits.
 /// Returns nothing if no engines have the memory; `Obstacle` then says what
--- a/src/balancing/placement.cpp
+++ b/src/balancing/placement.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cmath>
 #include <numeric>
+#include <utility>
 
 namespace cassiashed::balancing {
 namespace {
@@ -245,7 +246,10 @@
     Option.Loss +=
         ownLoss(Request, Option.FirstTokenMs, Options) +
         Request.Value * Options.HelperCost * static_cast<double>(Size - 1);
-    if (!Best || Option.Loss < Best->Loss)
+    // Whether the request is worth its place is for the admission to say.
+    if (!Best ||
+        std::pair(Option.FirstTokenMs >= Request.DeadlineMs, Option.Loss) <
+            std::pair(Best->FirstTokenMs >= Request.DeadlineMs, Best->Loss))
       Best = std::move(Option);
   }
   if (Obstacle)
--- a/src/balancing/placement_test.cpp
+++ b/src/balancing/placement_test.cpp
@@ -177,6 +177,24 @@
   CHECK_FALSE(All.place(makeLong(1, 500000)));
 }
 
+// Guards against the largest prompts failing for want of time: a choice past
+// the deadline costs the request alone, one in time pauses streams.
+TEST_CASE("a prompt is placed in time where engines can do so") {
+  Fleet All(4);
+  for (std::uint64_t Id = 10; Id < 46; ++Id) {
+    REQUIRE(All.place(makeShort(Id)));
+    All.Now += milliseconds(12);
+  }
+  PlacementRequest Work = makeLong(1, 200000);
+  Work.Value = 1;
+  Work.FirstTokenMs = 500;
+  Work.DeadlineMs = 2500;
+  const auto Chosen = All.place(Work);
+  REQUIRE(Chosen);
+  CHECK(Chosen->FirstTokenMs < Work.DeadlineMs);
+  CHECK(Chosen->LossToOthers > Work.Value);
+}
+
 TEST_CASE("a prompt that idle engines could not run is told apart") {
   const PlacementRequest Work = makeLong(1, 500000);
   CHECK(couldRunWhenIdle(Work, makeSpec(), 8));
