Predict that the newest part of a prompt is read first

Callers saw the largest prompts time out or come late, at any load: engines read the parts of prompts of other engines newest first, while the prediction had a new part wait behind those there. So an engine whose part was nearly read looked free, was chosen for the next prompt, and the older prompt waited for the newer one; under a stream of long prompts the oldest never got its first token. The more engines a prompt needs, the likelier one of them is taken again. Class: a prediction that contradicts what the engine does, so that every decision works against work already under way.

A new part now goes before older ones in the prediction, and the prompts that it delays count: once for each prompt, however many engines delay it, and also if they begin long after the new one.

Tests that failed first: "a part of a prompt is read before parts that came earlier" (170 ms of 130), "parts that newer ones delay past their deadline are lost".

--- a/include/cassiashed/engine/engine_timeline.h
+++ b/include/cassiashed/engine/engine_timeline.h
@@ -3,6 +3,7 @@
 #include "cassiashed/base/clock.h"
 #include "cassiashed/engine/engine_spec.h"
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 /// Prediction of what one engine does with the work that it holds.
@@ -30,10 +31,21 @@
   ServiceGoal Goal;
 };
 
+/// Value that a prompt which several engines read would lose.
+struct SplitLoss {
+  std::uint64_t Id = 0;
+  double Loss = 0;
+};
+
 /// Outcome of adding a job.
 struct Forecast {
   double FirstTokenMs = 0; ///< from now
-  double LossToOthers = 0; ///< value that requests already there would lose
+  /// Value that requests already there would lose, other than prompts that
+  /// several engines read.
+  double LossToOthers = 0;
+  /// The latter, each with the loss of its first token. Engines that delay the
+  /// same prompt name the same loss.
+  std::vector<SplitLoss> LossToSplit;
 };
 
 /// Simulates the passes of one engine. Time is an argument; not thread-safe.
@@ -82,6 +94,8 @@
     std::uint64_t Id = 0;     ///< job whose first token is watched
     double FirstTokenAt = -1; ///< ms since the epoch of the timeline
     double Loss = 0;          ///< value lost by late first tokens and pauses
+    /// Value lost by late first tokens of prompts that several engines read.
+    std::vector<SplitLoss> SplitLosses;
   };
   /// Runs one pass that begins at `Begin`; returns its end, or `Begin` if
   /// nothing can run.
@@ -103,8 +117,8 @@
   EngineSpec Spec_;
   std::vector<Running> Jobs_;
   double PassEndsAt_ = 0;
-  /// Value lost without a new job, until the state changes.
-  double BaselineLoss_ = -1;
+  /// Losses without a new job, until the state changes.
+  std::optional<PassWatch> Baseline_;
   double LongReadMs_ = 0; ///< decays with LongReadMemoryMs
   double LongReadAt_ = 0;
 };
--- a/src/balancing/placement.cpp
+++ b/src/balancing/placement.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cmath>
 #include <numeric>
+#include <unordered_map>
 #include <utility>
 
 namespace cassiashed::balancing {
@@ -12,6 +13,7 @@
 using engine::EngineJob;
 using engine::EngineSpec;
 using engine::Forecast;
+using engine::SplitLoss;
 
 /// Numbers of engines that are tried for one prompt.
 constexpr std::array<std::size_t, 10> SplitSizes = {1, 2,  3,  4,  6,
@@ -75,12 +77,31 @@
 /// Below the second share of long reads later requests find other engines.
 constexpr double ScarceSecond = 12;
 constexpr double ScarceFrom = 0.3;
+
+/// What using one engine means.
 struct Assessment {
   std::size_t Candidate = 0;
   double FirstTokenMs = 0;
-  double Loss = 0;
+  double Loss = 0; ///< other than of prompts that several engines read
+  std::vector<SplitLoss> SplitLosses;
+  double SplitSum = 0; ///< of them
 };
 
+/// Value that prompts which several engines read lose on all engines of a
+/// choice: a prompt that more than one of them delays is late once.
+double splitLoss(const std::vector<const Assessment *> &Chosen) {
+  std::unordered_map<std::uint64_t, double> Worst;
+  for (const Assessment *Each : Chosen)
+    for (const SplitLoss &Loss : Each->SplitLosses) {
+      double &Known = Worst[Loss.Id];
+      Known = std::max(Known, Loss.Loss);
+    }
+  double Sum = 0;
+  for (const auto &[Id, Loss] : Worst)
+    Sum += Loss;
+  return Sum;
+}
+
 double freeMemory(const EngineCandidate &Candidate, const EngineSpec &Spec,
                   const PlacementOptions &Options) {
   if (Spec.MemoryTokens <= 0)
@@ -135,16 +156,16 @@
   Job.MemoryTokens = Part.MemoryTokens;
   Job.Urgent = Request.Urgent;
   Job.Goal.PauseMs = Request.PauseMs;
-  if (Writes) {
+  // The first token follows the last part, so each part can make it late.
+  Job.Goal.FirstTokenBy =
+      Now +
+      std::chrono::duration_cast<TimePoint::duration>(
+          std::chrono::duration<double, std::milli>(Request.FirstTokenMs));
+  Job.Goal.LateLoss = Request.Value * (1 - Options.LateShare);
+  Job.Goal.FailLoss = Request.Value * Options.LateShare;
+  Job.Goal.TotalMs = Request.DeadlineMs;
+  if (Writes)
     Job.OutputTokens = std::max(1.0, Request.OutputTokens);
-    Job.Goal.FirstTokenBy =
-        Now +
-        std::chrono::duration_cast<TimePoint::duration>(
-            std::chrono::duration<double, std::milli>(Request.FirstTokenMs));
-    Job.Goal.LateLoss = Request.Value * (1 - Options.LateShare);
-    Job.Goal.FailLoss = Request.Value * Options.LateShare;
-    Job.Goal.TotalMs = Request.DeadlineMs;
-  }
   return Job;
 }
 
@@ -194,49 +215,65 @@
     Part.MemoryTokens = Request.PromptTokens + Request.OutputTokens;
     if (Size > 1)
       Part.MemoryTokens = 0;
-    const EngineJob Job = makeJob(Request, Part, true, Now, Options);
-    for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+    const auto Assess = [&](std::size_t Index, bool Writes) {
       const EngineCandidate &Each = Candidates[Index];
-      const Forecast Next = Each.Timeline->forecast(Job, Now, Each.TransitMs);
-      Ranked[Index] = {Index, Next.FirstTokenMs,
-                       Next.LossToOthers + Each.Handicap +
-                           congestionLoss(Each, Spec)};
-      Ranked[Index].Loss +=
+      Forecast Next = Each.Timeline->forecast(
+          makeJob(Request, Part, Writes, Now, Options), Now, Each.TransitMs);
+      Assessment Result{Index, Next.FirstTokenMs,
+                        Next.LossToOthers + Each.Handicap +
+                            congestionLoss(Each, Spec)};
+      Result.Loss +=
           Opening * std::exp(-Each.Timeline->shortStreams() / OpeningStreams);
-    }
+      for (const SplitLoss &Loss : Next.LossToSplit)
+        Result.SplitSum += Loss.Loss;
+      Result.SplitLosses = std::move(Next.LossToSplit);
+      return Result;
+    };
+    // All but one of several engines only help.
+    for (std::size_t Index = 0; Index < Candidates.size(); ++Index)
+      Ranked[Index] = Assess(Index, Size == 1);
     const auto Cost = [&](const Assessment &Each) {
-      return Each.Loss + ownLoss(Request, Each.FirstTokenMs, Options);
+      return Each.Loss + Each.SplitSum +
+             ownLoss(Request, Each.FirstTokenMs, Options);
     };
     std::sort(Ranked.begin(), Ranked.end(),
               [&](const Assessment &Left, const Assessment &Right) {
                 return Cost(Left) < Cost(Right);
               });
     Placement Option;
+    std::vector<Assessment> Chosen;
     for (const Assessment &Each : Ranked) {
-      if (Option.Parts.size() == Size)
+      if (Chosen.size() == Size)
         break;
-      if (Size > 1 && !Candidates[Each.Candidate].MayHelp)
-        continue;
-      PlacedPart Chosen;
-      Chosen.Candidate = Each.Candidate;
-      Chosen.PromptTokens = Part.PromptTokens;
-      Option.Parts.push_back(Chosen);
-      Option.FirstTokenMs = std::max(Option.FirstTokenMs, Each.FirstTokenMs);
-      Option.Loss += Each.Loss;
+      if (Size == 1 || Candidates[Each.Candidate].MayHelp)
+        Chosen.push_back(Each);
     }
-    if (Option.Parts.size() < Size) {
+    if (Chosen.size() < Size) {
       Last = PlacementObstacle::Helpers;
       continue;
     }
     // The engine with the most free memory keeps the prompt.
-    const auto Roomiest = std::max_element(
-        Option.Parts.begin(), Option.Parts.end(),
-        [&](const PlacedPart &Left, const PlacedPart &Right) {
-          return freeMemory(Candidates[Left.Candidate], Spec, Options) <
-                 freeMemory(Candidates[Right.Candidate], Spec, Options);
-        });
-    if (Size > 1)
-      std::iter_swap(Option.Parts.begin(), Roomiest);
+    if (Size > 1) {
+      const auto Roomiest = std::max_element(
+          Chosen.begin(), Chosen.end(),
+          [&](const Assessment &Left, const Assessment &Right) {
+            return freeMemory(Candidates[Left.Candidate], Spec, Options) <
+                   freeMemory(Candidates[Right.Candidate], Spec, Options);
+          });
+      std::iter_swap(Chosen.begin(), Roomiest);
+      Chosen.front() = Assess(Chosen.front().Candidate, true);
+    }
+    std::vector<const Assessment *> Uses;
+    for (const Assessment &Each : Chosen) {
+      PlacedPart Placed;
+      Placed.Candidate = Each.Candidate;
+      Placed.PromptTokens = Part.PromptTokens;
+      Option.Parts.push_back(Placed);
+      Option.FirstTokenMs = std::max(Option.FirstTokenMs, Each.FirstTokenMs);
+      Option.Loss += Each.Loss;
+      Uses.push_back(&Each);
+    }
+    Option.Loss += splitLoss(Uses);
     if (!assignMemory(Request, Candidates, Spec, Options, Option.Parts)) {
       Last = PlacementObstacle::Memory;
       continue;
--- a/src/engine/engine_timeline.cpp
+++ b/src/engine/engine_timeline.cpp
@@ -50,7 +50,8 @@
 
 void EngineTimeline::insertInOrder(std::vector<Running> &Jobs,
                                    const Running &Entry) {
-  // Parts of prompts of other engines come first, then urgent requests.
+  // Parts of prompts of other engines come first, the newest one before the
+  // others; then urgent requests.
   const auto Rank = [](const Running &Each) {
     if (Each.Job.OutputTokens <= 0)
       return 0;
@@ -58,9 +59,12 @@
   };
   const auto Place =
       std::find_if(Jobs.begin(), Jobs.end(), [&](const Running &Other) {
+        if (Other.Decoding)
+          return false;
+        if (Rank(Entry) == 0)
+          return true;
         // A prompt that is partly read keeps its place, except for parts.
-        const bool KeepsPlace = Other.Prefilled > 0 && Rank(Entry) > 0;
-        return !Other.Decoding && !KeepsPlace && Rank(Other) > Rank(Entry);
+        return Other.Prefilled <= 0 && Rank(Other) > Rank(Entry);
       });
   Jobs.insert(Place, Entry);
 }
@@ -165,10 +169,18 @@
     if (Watch && Entry.Job.Id == Watch->Id)
       Watch->FirstTokenAt = End;
     const double Limit = toMs(Entry.Job.Goal.FirstTokenBy) - Entry.ArrivesAt;
-    if (Watch && !Entry.Late && Entry.Job.Goal.LateLoss > 0)
-      Watch->Loss += Entry.Job.Goal.LateLoss * latenessOf(End - Entry.ArrivesAt,
-                                                          std::max(Limit, 1.0),
-                                                          FirstTokenOnTime);
+    if (!Watch || Entry.Late || Entry.Job.Goal.LateLoss <= 0)
+      continue;
+    const double WaitedMs = End - Entry.ArrivesAt;
+    const double Loss =
+        Entry.Job.Goal.LateLoss *
+            latenessOf(WaitedMs, std::max(Limit, 1.0), FirstTokenOnTime) +
+        Entry.Job.Goal.FailLoss *
+            latenessOf(WaitedMs, Entry.Job.Goal.TotalMs, FirstTokenOnTime);
+    if (Entry.Job.WholePromptTokens <= 0)
+      Watch->Loss += Loss;
+    else if (Loss > 0)
+      Watch->SplitLosses.push_back({Entry.Job.Id, Loss});
   }
   // A request that is only foreseen ends when its expected output is done. One
   // that runs ends when its node says so, since estimates are often too short.
@@ -188,7 +200,7 @@
   }
   while (PassEndsAt_ <= NowMs && !Jobs_.empty()) {
     const double End = runPass(Jobs_, PassEndsAt_, nullptr);
-    BaselineLoss_ = -1;
+    Baseline_.reset();
     if (End == PassEndsAt_) {
       // Nothing runs before the next arrival.
       const double Next = std::min(NowMs, nextArrival(Jobs_, PassEndsAt_));
@@ -210,7 +222,7 @@
   if (Jobs_.empty())
     PassEndsAt_ = std::max(PassEndsAt_, Entry.ArrivesAt);
   insertInOrder(Jobs_, Entry);
-  BaselineLoss_ = -1;
+  Baseline_.reset();
   if (isLongRead(Spec_, std::max(Job.PromptTokens, Job.WholePromptTokens),
                  Job.Goal.PauseMs)) {
     const double NowMs = toMs(Now);
@@ -239,7 +251,7 @@
   advance(Now);
   std::erase_if(Jobs_,
                 [Id](const Running &Entry) { return Entry.Job.Id == Id; });
-  BaselineLoss_ = -1;
+  Baseline_.reset();
 }
 
 void EngineTimeline::markFirstToken(std::uint64_t Id, TimePoint Now) {
@@ -249,7 +261,7 @@
       Entry.Decoding = true;
       Entry.Prefilled = Entry.Job.PromptTokens;
       Entry.LastEventAt = toMs(Now);
-      BaselineLoss_ = -1;
+      Baseline_.reset();
     }
 }
 
@@ -263,12 +275,17 @@
   for (int Pass = 0; Pass < MaxForecastPasses; ++Pass) {
     if (Watch.FirstTokenAt >= 0 && StopAt < 0)
       StopAt = Watch.FirstTokenAt + ForecastTailMs;
-    if (StopAt >= 0 && At > StopAt)
-      break;
     const bool Waiting =
         std::any_of(Jobs.begin(), Jobs.end(),
                     [](const Running &Entry) { return !Entry.Decoding; });
-    if (!Waiting)
+    // Prompts that several engines read are delayed beyond the watched job's
+    // start, since the newest part is read first.
+    const bool SplitWaits =
+        std::any_of(Jobs.begin(), Jobs.end(), [](const Running &Entry) {
+          return !Entry.Decoding && Entry.Job.WholePromptTokens > 0;
+        });
+    const bool TailIsOver = StopAt >= 0 && At > StopAt;
+    if (!Waiting || (TailIsOver && !SplitWaits))
       break;
     const double End = runPass(Jobs, At, &Watch);
     if (End == At) {
@@ -286,11 +303,8 @@
   advance(Now);
   const double NowMs = toMs(Now);
   const double Begin = std::max(PassEndsAt_, NowMs);
-  if (BaselineLoss_ < 0) {
-    PassWatch Baseline;
-    runAhead(Jobs_, Begin, Baseline);
-    BaselineLoss_ = Baseline.Loss;
-  }
+  if (!Baseline_)
+    runAhead(Jobs_, Begin, Baseline_.emplace());
   std::vector<Running> With = Jobs_;
   Running Entry;
   Entry.Job = Job;
@@ -303,7 +317,14 @@
   Forecast Result;
   Result.FirstTokenMs =
       Watch.FirstTokenAt < 0 ? Never : Watch.FirstTokenAt - NowMs;
-  Result.LossToOthers = std::max(0.0, Watch.Loss - BaselineLoss_);
+  Result.LossToOthers = std::max(0.0, Watch.Loss - Baseline_->Loss);
+  for (SplitLoss &Each : Watch.SplitLosses) {
+    for (const SplitLoss &Before : Baseline_->SplitLosses)
+      if (Before.Id == Each.Id)
+        Each.Loss -= Before.Loss;
+    if (Each.Loss > 0)
+      Result.LossToSplit.push_back(Each);
+  }
   return Result;
 }
 
--- a/src/engine/engine_timeline_test.cpp
+++ b/src/engine/engine_timeline_test.cpp
@@ -39,6 +39,19 @@
   return Job;
 }
 
+/// An eighth of a prompt that needs 190 ms at each engine.
+EngineJob makePart(std::uint64_t Id, TimePoint Now) {
+  EngineJob Job;
+  Job.Id = Id;
+  Job.PromptTokens = 10000;
+  Job.WholePromptTokens = 80000;
+  Job.Goal.FirstTokenBy = Now + milliseconds(250);
+  Job.Goal.LateLoss = 3;
+  Job.Goal.FailLoss = 1;
+  Job.Goal.TotalMs = 400;
+  return Job;
+}
+
 } // namespace
 
 TEST_CASE("the first token of a lone prompt follows its prefill") {
@@ -97,6 +110,45 @@
   CHECK(PartMs < 250);
 }
 
+// Guards against a model in which parts wait for each other: parts of the
+// largest prompts were passed by all later ones, against the prediction.
+TEST_CASE("a part of a prompt is read before parts that came earlier") {
+  EngineTimeline Engine(makeSpec());
+  TimePoint Now{std::chrono::hours(1)};
+  Engine.add(makePart(1, Now), Now);
+  Now += milliseconds(20);
+  const Forecast Next = Engine.forecast(makePart(2, Now), Now);
+  CHECK(Next.FirstTokenMs < 130);
+  CHECK(Next.LossToOthers == 0);
+  // The earlier part is late.
+  REQUIRE(Next.LossToSplit.size() == 1);
+  CHECK(Next.LossToSplit.front().Id == 1);
+  CHECK(Next.LossToSplit.front().Loss > 0);
+}
+
+// Guards against a delay that does not count since it ends long after the first
+// token of the newer prompt.
+TEST_CASE("parts that newer ones delay past their deadline are lost") {
+  EngineTimeline Engine(makeSpec());
+  TimePoint Now{std::chrono::hours(1)};
+  EngineJob Older = makePart(1, Now);
+  Older.PromptTokens = 80000;
+  Older.WholePromptTokens = 640000;
+  Older.Goal.FirstTokenBy = Now + milliseconds(4700);
+  Older.Goal.TotalMs = 8000;
+  Engine.add(Older, Now);
+  Now += milliseconds(20);
+  CHECK(Engine.forecast(makePart(2, Now), Now).LossToSplit.empty());
+  EngineJob Newer = Older;
+  Newer.Id = 3;
+  const Forecast Next = Engine.forecast(Newer, Now);
+  REQUIRE(Next.LossToSplit.size() == 1);
+  CHECK(Next.LossToSplit.front().Loss > 2.9);
+  Newer.PromptTokens *= 2;
+  CHECK(Engine.forecast(Newer, Now).LossToSplit.front().Loss ==
+        doctest::Approx(4));
+}
+
 TEST_CASE("urgent requests pass waiting ones that are late") {
   EngineTimeline Engine(makeSpec());
   const TimePoint Now{std::chrono::hours(1)};
