Keep waiting for a prompt that several engines read

Callers saw prompts above 100,000 tokens end without an answer or late after a second attempt: an attempt without a first token was given up after three times its prediction and 1.5 s. A read of several engines is delayed beyond its prediction by newer prompts; giving it up loses what was read, and the second attempt has less time. Silence of an engine that died ends earlier: the others answer for it after its stall. Class: a suspicion of an endpoint that is only slow.

Such a prompt now keeps its engines for half of the time left. The limit is a decision of its own (silence_limit.h).

--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange_parts.h"
 
+#include "cassiashed/balancing/silence_limit.h"
 #include <array>
 #include <boost/asio/write.hpp>
 #include <limits>
@@ -15,13 +16,6 @@
 constexpr int MaxForeignAnswers = 3;
 /// Bytes of them that are read; more cost more than a new attempt.
 constexpr std::size_t MaxForeignBytes = 256 * 1024;
-/// A stream without a first event for longer than its predicted time by this
-/// factor and slack goes to another endpoint.
-constexpr double FirstEventFactor = 3;
-constexpr Duration FirstEventSlack{1500};
-/// Part of the time a plain call has left that one endpoint may use up
-/// silently when another one could be asked.
-constexpr double PlainSilencePart = 0.5;
 /// Priorities at the engine, 0 is first.
 constexpr int UrgentPriority = 3;
 constexpr int LatePriority = 8;
@@ -292,18 +286,24 @@
   co_return End;
 }
 
+TimePoint Exchange::firstByteLimit(const Dispatch &Chosen) const {
+  balancing::SentRequest Sent;
+  Sent.IsStream = Route_->Kind == CallKind::Stream;
+  Sent.Predicted =
+      Duration(static_cast<Duration::rep>(std::min(1e6, Chosen.FirstTokenMs)));
+  Sent.Engines = Chosen.Endpoints.size();
+  Sent.Left = left();
+  Sent.MayTryAnother = Route_->mayRepeat() && Sends_ < Route_->MaxAttempts;
+  const std::optional<Duration> Limit = balancing::silenceLimit(Sent);
+  return Limit ? State_.now() + *Limit : TimePoint::max();
+}
+
 http::Task<AttemptEnd>
 Exchange::receive(const Dispatch &Chosen, LinkRef &Link,
                   const std::shared_ptr<PendingWrite> &Sending) {
   const EndpointRef Peer = Chosen.Endpoints.front();
   const bool IsStream = Route_->Kind == CallKind::Stream;
-  if (IsStream)
-    setSilenceLimit(State_.now() + FirstEventSlack +
-                    std::chrono::milliseconds(static_cast<int>(std::min(
-                        1e6, Chosen.FirstTokenMs * FirstEventFactor))));
-  else if (Route_->mayRepeat() && Sends_ < Route_->MaxAttempts)
-    setSilenceLimit(State_.now() + std::chrono::duration_cast<Duration>(
-                                       left() * PlainSilencePart));
+  setSilenceLimit(firstByteLimit(Chosen));
   std::optional<ResponseParser> Parser;
   EndpointHead Answer;
   bool Matches = false;
--- a/src/gateway/exchange_parts.h
+++ b/src/gateway/exchange_parts.h
@@ -87,6 +87,8 @@
   void releaseReservations();
   http::Task<LinkRef> openLink(const EndpointRef &Peer);
   http::Task<AttemptEnd> attempt(const Dispatch &Chosen);
+  /// When an endpoint that sent no byte of its answer is given up.
+  TimePoint firstByteLimit(const Dispatch &Chosen) const;
   http::Task<AttemptEnd> receive(const Dispatch &Chosen, LinkRef &Link,
                                  const std::shared_ptr<PendingWrite> &Sending);
   http::Task<AttemptEnd> relayStream(EndpointLink &Link,
