Read late long prompts in the order of arrival

Callers saw the largest prompts wait until they left (12 s): a prompt that is predicted to miss its first-token target goes to the engine with the lowest priority, so each shorter prompt that comes later is read before it. The largest are late first. Class: a priority without a bound on how often it is passed.

Prompts that take longer to read than a stream may pause keep the normal priority; short ones that are late still let others pass.

The property test of sizes now counts first tokens in time instead of admissions: FleetPlay carries out what engines read, callers leave at their deadline. So it sees prompts that are admitted and starve.

--- a/include/cassiashed/engine/engine_timeline.h
+++ b/include/cassiashed/engine/engine_timeline.h
@@ -71,6 +71,8 @@
   Forecast forecast(const EngineJob &Job, TimePoint Now, double TransitMs = 0);
 
   std::size_t jobCount() const { return Jobs_.size(); }
+  /// Whether this engine has yet to read its part of a request.
+  bool isReading(std::uint64_t Id) const;
   /// Requests that are written here, other than long reads.
   int shortStreams() const;
   /// Share of recent time that long reads took, about 0 to 1.
--- a/src/balancing/dispatcher.cpp
+++ b/src/balancing/dispatcher.cpp
@@ -146,7 +146,10 @@
   PlacementRequest Work = Request.Work;
   Work.Urgent = true;
   auto Chosen = choosePlacement(Work, Engines, Spec, Now, {}, &Result.Obstacle);
-  if (Chosen && Chosen->FirstTokenMs > Work.FirstTokenMs) {
+  // A long prompt would be passed by every short one until its caller leaves.
+  const bool MayBePassed =
+      !engine::isLongRead(Spec, Work.PromptTokens, Work.PauseMs);
+  if (Chosen && Chosen->FirstTokenMs > Work.FirstTokenMs && MayBePassed) {
     // Late ones are admitted last, so their place is predicted that way too.
     Work.Urgent = false;
     Chosen = choosePlacement(Work, Engines, Spec, Now, {}, &Result.Obstacle);
--- a/src/balancing/size_counts.h
+++ b/src/balancing/size_counts.h
@@ -3,7 +3,7 @@
 #include <map>
 #include <vector>
 
-/// Counts of decisions by size, for tests.
+/// Counts of outcomes by size, for tests.
 namespace cassiashed::balancing {
 
 /// Part of its kind's share that each size keeps.
@@ -11,7 +11,7 @@
 
 struct SizeCount {
   int Asked = 0;
-  int Admitted = 0;
+  int Served = 0;
 };
 
 /// Bands that were asked for often enough to speak of a share, and have less
@@ -21,13 +21,13 @@
   SizeCount All;
   for (const auto &[Band, Each] : Bands) {
     All.Asked += Each.Asked;
-    All.Admitted += Each.Admitted;
+    All.Served += Each.Served;
   }
   std::vector<int> Result;
   for (const auto &[Band, Each] : Bands)
     // One prompt more or less is not a matter of shares.
     if (Each.Asked >= LeastAsked &&
-        (Each.Admitted + 1) * All.Asked < KeptPart * Each.Asked * All.Admitted)
+        (Each.Served + 1) * All.Asked < KeptPart * Each.Asked * All.Served)
       Result.push_back(Band);
   return Result;
 }
--- a/src/balancing/size_guarantee_test.cpp
+++ b/src/balancing/size_guarantee_test.cpp
@@ -49,14 +49,14 @@
          Admission::Send;
 }
 
-/// Plays a mix for 20 s with the decisions of a placer; returns what was
-/// decided about the long prompts, by size. Idle engines could run each of
-/// them.
+/// Plays a mix for 20 s with the decisions of a placer; returns how many of the
+/// long prompts had their first token in time, by size. Idle engines could run
+/// each of them.
 std::map<int, SizeCount> play(const Mix &Load, std::mt19937_64 &Random) {
   constexpr double LongestTokens = 600000;
   FleetPlay Fleet(Load.Engines);
   AdmissionControl Control;
-  std::map<int, SizeCount> Bands;
+  std::vector<std::pair<std::uint64_t, int>> Asked; ///< number, band
   std::exponential_distribution<double> Gap(Load.ShortPerSecond +
                                             Load.LongPerSecond);
   std::lognormal_distribution<double> Length(
@@ -81,14 +81,16 @@
     Work.PauseMs = Long ? 1000 : 250;
     Work.Value = (Work.PromptTokens + 10 * Work.OutputTokens) / 10000;
     const Dispatch Chosen = Fleet.choose(Work, Fleet.truth(), Now);
-    const bool IsSent = isAdmitted(Chosen, Work, Control, Now);
-    if (IsSent)
+    if (isAdmitted(Chosen, Work, Control, Now))
       Fleet.send(Work, Chosen, Fleet.truth(), milliseconds(800), Now);
-    if (!Long)
-      continue;
-    SizeCount &Counted = Bands[sizeBandOf(Work.PromptTokens)];
-    ++Counted.Asked;
-    Counted.Admitted += IsSent ? 1 : 0;
+    if (Long)
+      Asked.emplace_back(Work.Id, sizeBandOf(Work.PromptTokens));
+  }
+  Fleet.settle(FleetPlay::Start + std::chrono::seconds(40));
+  std::map<int, SizeCount> Bands;
+  for (const auto &[Each, Band] : Asked) {
+    ++Bands[Band].Asked;
+    Bands[Band].Served += Fleet.wasServed(Each) ? 1 : 0;
   }
   return Bands;
 }
@@ -111,7 +113,7 @@
     for (const int Band : Starved) {
       CAPTURE(Band);
       CAPTURE(Bands.at(Band).Asked);
-      CAPTURE(Bands.at(Band).Admitted);
+      CAPTURE(Bands.at(Band).Served);
       CHECK(false);
     }
   }
--- a/src/balancing/size_shares_test.cpp
+++ b/src/balancing/size_shares_test.cpp
@@ -39,7 +39,7 @@
         Shares.note(Kind, Tokens, IsAdmitted, Now);
         SizeCount &Counted = Bands[sizeBandOf(Tokens)];
         ++Counted.Asked;
-        Counted.Admitted += IsAdmitted ? 1 : 0;
+        Counted.Served += IsAdmitted ? 1 : 0;
       }
     RC_ASSERT(starvedBands(Bands, 6).empty());
   }));
--- a/src/engine/engine_timeline.cpp
+++ b/src/engine/engine_timeline.cpp
@@ -233,6 +233,12 @@
   }
 }
 
+bool EngineTimeline::isReading(std::uint64_t Id) const {
+  return std::any_of(Jobs_.begin(), Jobs_.end(), [Id](const Running &Entry) {
+    return Entry.Job.Id == Id && !Entry.Decoding;
+  });
+}
+
 int EngineTimeline::shortStreams() const {
   return static_cast<int>(
       std::count_if(Jobs_.begin(), Jobs_.end(), [this](const Running &Entry) {
