Hold the baseline of a forecast as a plain member

clang 14 rejects optional::emplace on the nested type, so the lint failed on engine_timeline.cpp. No change of behaviour: engine_test and balancing_test pass as before.

--- a/include/cassiashed/engine/engine_timeline.h
+++ b/include/cassiashed/engine/engine_timeline.h
@@ -3,7 +3,6 @@
 #include "cassiashed/base/clock.h"
 #include "cassiashed/engine/engine_spec.h"
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 /// Prediction of what one engine does with the work that it holds.
@@ -120,7 +119,8 @@
   std::vector<Running> Jobs_;
   double PassEndsAt_ = 0;
   /// Losses without a new job, until the state changes.
-  std::optional<PassWatch> Baseline_;
+  PassWatch Baseline_;
+  bool BaselineIsKnown_ = false;
   double LongReadMs_ = 0; ///< decays with LongReadMemoryMs
   double LongReadAt_ = 0;
 };
--- a/src/engine/engine_timeline.cpp
+++ b/src/engine/engine_timeline.cpp
@@ -200,7 +200,7 @@
   }
   while (PassEndsAt_ <= NowMs && !Jobs_.empty()) {
     const double End = runPass(Jobs_, PassEndsAt_, nullptr);
-    Baseline_.reset();
+    BaselineIsKnown_ = false;
     if (End == PassEndsAt_) {
       // Nothing runs before the next arrival.
       const double Next = std::min(NowMs, nextArrival(Jobs_, PassEndsAt_));
@@ -222,7 +222,7 @@
   if (Jobs_.empty())
     PassEndsAt_ = std::max(PassEndsAt_, Entry.ArrivesAt);
   insertInOrder(Jobs_, Entry);
-  Baseline_.reset();
+  BaselineIsKnown_ = false;
   if (isLongRead(Spec_, std::max(Job.PromptTokens, Job.WholePromptTokens),
                  Job.Goal.PauseMs)) {
     const double NowMs = toMs(Now);
@@ -257,7 +257,7 @@
   advance(Now);
   std::erase_if(Jobs_,
                 [Id](const Running &Entry) { return Entry.Job.Id == Id; });
-  Baseline_.reset();
+  BaselineIsKnown_ = false;
 }
 
 void EngineTimeline::markFirstToken(std::uint64_t Id, TimePoint Now) {
@@ -267,7 +267,7 @@
       Entry.Decoding = true;
       Entry.Prefilled = Entry.Job.PromptTokens;
       Entry.LastEventAt = toMs(Now);
-      Baseline_.reset();
+      BaselineIsKnown_ = false;
     }
 }
 
@@ -309,8 +309,11 @@
   advance(Now);
   const double NowMs = toMs(Now);
   const double Begin = std::max(PassEndsAt_, NowMs);
-  if (!Baseline_)
-    runAhead(Jobs_, Begin, Baseline_.emplace());
+  if (!BaselineIsKnown_) {
+    Baseline_ = {};
+    runAhead(Jobs_, Begin, Baseline_);
+    BaselineIsKnown_ = true;
+  }
   std::vector<Running> With = Jobs_;
   Running Entry;
   Entry.Job = Job;
@@ -323,9 +326,9 @@
   Forecast Result;
   Result.FirstTokenMs =
       Watch.FirstTokenAt < 0 ? Never : Watch.FirstTokenAt - NowMs;
-  Result.LossToOthers = std::max(0.0, Watch.Loss - Baseline_->Loss);
+  Result.LossToOthers = std::max(0.0, Watch.Loss - Baseline_.Loss);
   for (SplitLoss &Each : Watch.SplitLosses) {
-    for (const SplitLoss &Before : Baseline_->SplitLosses)
+    for (const SplitLoss &Before : Baseline_.SplitLosses)
       if (Before.Id == Each.Id)
         Each.Loss -= Before.Loss;
     if (Each.Loss > 0)
