Split the choice of engines into steps

choosePlacement had grown to a hundred lines with two nested lambdas. The search, the assessment of one engine and the choice of the cheapest engines are functions now. No change of behaviour: five plays of the property test's mixes print the same decisions before and after.

--- a/src/balancing/placement.cpp
+++ b/src/balancing/placement.cpp
@@ -90,10 +90,10 @@
 
 /// Value that prompts which several engines read lose on all engines of a
 /// choice: a prompt that more than one of them delays is late once.
-double splitLoss(const std::vector<const Assessment *> &Chosen) {
+double splitLoss(const std::vector<Assessment> &Chosen) {
   std::unordered_map<std::uint64_t, double> Worst;
-  for (const Assessment *Each : Chosen)
-    for (const SplitLoss &Loss : Each->SplitLosses) {
+  for (const Assessment &Each : Chosen)
+    for (const SplitLoss &Loss : Each.SplitLosses) {
       double &Known = Worst[Loss.Id];
       Known = std::max(Known, Loss.Loss);
     }
@@ -201,6 +201,89 @@
                          0.0);
 }
 
+namespace {
+
+/// One search for engines.
+struct Search {
+  const PlacementRequest &Request;
+  const std::vector<EngineCandidate> &Candidates;
+  const EngineSpec &Spec;
+  TimePoint Now;
+  const PlacementOptions &Options;
+  double OpeningLoss = 0; ///< of a stream on an engine that has none
+};
+
+Search makeSearch(const PlacementRequest &Request,
+                  const std::vector<EngineCandidate> &Candidates,
+                  const EngineSpec &Spec, TimePoint Now,
+                  const PlacementOptions &Options, double LongReads) {
+  const bool IsLong =
+      engine::isLongRead(Spec, Request.PromptTokens, Request.PauseMs);
+  return {Request, Candidates, Spec,
+          Now,     Options,    IsLong ? 0 : OpeningCost * LongReads};
+}
+
+Assessment assess(const Search &For, std::size_t Index, const PlacedPart &Part,
+                  bool Writes) {
+  const EngineCandidate &Each = For.Candidates[Index];
+  Forecast Next = Each.Timeline->forecast(
+      makeJob(For.Request, Part, Writes, For.Now, For.Options), For.Now,
+      Each.TransitMs);
+  Assessment Result;
+  Result.Candidate = Index;
+  Result.FirstTokenMs = Next.FirstTokenMs;
+  Result.Loss =
+      Next.LossToOthers + Each.Handicap + congestionLoss(Each, For.Spec);
+  Result.Loss += For.OpeningLoss *
+                 std::exp(-Each.Timeline->shortStreams() / OpeningStreams);
+  for (const SplitLoss &Loss : Next.LossToSplit)
+    Result.SplitSum += Loss.Loss;
+  Result.SplitLosses = std::move(Next.LossToSplit);
+  return Result;
+}
+
+/// The `Size` engines that cost the least; fewer if too few may help. The first
+/// one writes the answer.
+std::vector<Assessment> cheapestEngines(const Search &For, std::size_t Size,
+                                        const PlacedPart &Part) {
+  std::vector<Assessment> Ranked;
+  Ranked.reserve(For.Candidates.size());
+  // All but one of several engines only help.
+  for (std::size_t Index = 0; Index < For.Candidates.size(); ++Index)
+    Ranked.push_back(assess(For, Index, Part, Size == 1));
+  const auto Cost = [&](const Assessment &Each) {
+    return Each.Loss + Each.SplitSum +
+           ownLoss(For.Request, Each.FirstTokenMs, For.Options);
+  };
+  std::sort(Ranked.begin(), Ranked.end(),
+            [&](const Assessment &Left, const Assessment &Right) {
+              return Cost(Left) < Cost(Right);
+            });
+  std::vector<Assessment> Chosen;
+  for (Assessment &Each : Ranked) {
+    if (Chosen.size() == Size)
+      break;
+    if (Size == 1 || For.Candidates[Each.Candidate].MayHelp)
+      Chosen.push_back(std::move(Each));
+  }
+  if (Size == 1 || Chosen.size() < Size)
+    return Chosen;
+  // The engine with the most free memory keeps the prompt.
+  const auto Free = [&](const Assessment &Each) {
+    return freeMemory(For.Candidates[Each.Candidate], For.Spec, For.Options);
+  };
+  const auto Roomiest =
+      std::max_element(Chosen.begin(), Chosen.end(),
+                       [&](const Assessment &Left, const Assessment &Right) {
+                         return Free(Left) < Free(Right);
+                       });
+  std::iter_swap(Chosen.begin(), Roomiest);
+  Chosen.front() = assess(For, Chosen.front().Candidate, Part, true);
+  return Chosen;
+}
+
+} // namespace
+
 std::optional<Placement>
 choosePlacement(const PlacementRequest &Request,
                 const std::vector<EngineCandidate> &Candidates,
@@ -208,17 +291,13 @@
                 const PlacementOptions &Options, PlacementObstacle *Obstacle) {
   PlacementObstacle Last = PlacementObstacle::None;
   std::optional<Placement> Best;
-  std::vector<Assessment> Ranked(Candidates.size());
   const double Share = longReadShare(Candidates, Now);
+  const Search For = makeSearch(Request, Candidates, Spec, Now, Options, Share);
   const double ReadSeconds =
       engine::prefillMs(Spec, 0, Request.PromptTokens) / 1000;
   const double LossToLater =
       ReadSeconds * ScarceSecond *
       std::clamp((Share - ScarceFrom) / (1 - ScarceFrom), 0.0, 1.0);
-  const double Opening =
-      engine::isLongRead(Spec, Request.PromptTokens, Request.PauseMs)
-          ? 0
-          : OpeningCost * Share;
   for (const std::size_t Size : SplitSizes) {
     if (Size > Options.MaxEngines || Size > Candidates.size())
       break;
@@ -226,58 +305,14 @@
       break;
     PlacedPart Part;
     Part.PromptTokens = Request.PromptTokens / static_cast<double>(Size);
-    Part.MemoryTokens = Request.PromptTokens + Request.OutputTokens;
-    if (Size > 1)
-      Part.MemoryTokens = 0;
-    const auto Assess = [&](std::size_t Index, bool Writes) {
-      const EngineCandidate &Each = Candidates[Index];
-      Forecast Next = Each.Timeline->forecast(
-          makeJob(Request, Part, Writes, Now, Options), Now, Each.TransitMs);
-      Assessment Result{Index, Next.FirstTokenMs,
-                        Next.LossToOthers + Each.Handicap +
-                            congestionLoss(Each, Spec)};
-      Result.Loss +=
-          Opening * std::exp(-Each.Timeline->shortStreams() / OpeningStreams);
-      for (const SplitLoss &Loss : Next.LossToSplit)
-        Result.SplitSum += Loss.Loss;
-      Result.SplitLosses = std::move(Next.LossToSplit);
-      return Result;
-    };
-    // All but one of several engines only help.
-    for (std::size_t Index = 0; Index < Candidates.size(); ++Index)
-      Ranked[Index] = Assess(Index, Size == 1);
-    const auto Cost = [&](const Assessment &Each) {
-      return Each.Loss + Each.SplitSum +
-             ownLoss(Request, Each.FirstTokenMs, Options);
-    };
-    std::sort(Ranked.begin(), Ranked.end(),
-              [&](const Assessment &Left, const Assessment &Right) {
-                return Cost(Left) < Cost(Right);
-              });
-    Placement Option;
-    std::vector<Assessment> Chosen;
-    for (const Assessment &Each : Ranked) {
-      if (Chosen.size() == Size)
-        break;
-      if (Size == 1 || Candidates[Each.Candidate].MayHelp)
-        Chosen.push_back(Each);
-    }
+    Part.MemoryTokens =
+        Size > 1 ? 0 : Request.PromptTokens + Request.OutputTokens;
+    const std::vector<Assessment> Chosen = cheapestEngines(For, Size, Part);
     if (Chosen.size() < Size) {
       Last = PlacementObstacle::Helpers;
       continue;
     }
-    // The engine with the most free memory keeps the prompt.
-    if (Size > 1) {
-      const auto Roomiest = std::max_element(
-          Chosen.begin(), Chosen.end(),
-          [&](const Assessment &Left, const Assessment &Right) {
-            return freeMemory(Candidates[Left.Candidate], Spec, Options) <
-                   freeMemory(Candidates[Right.Candidate], Spec, Options);
-          });
-      std::iter_swap(Chosen.begin(), Roomiest);
-      Chosen.front() = Assess(Chosen.front().Candidate, true);
-    }
-    std::vector<const Assessment *> Uses;
+    Placement Option;
     for (const Assessment &Each : Chosen) {
       PlacedPart Placed;
       Placed.Candidate = Each.Candidate;
@@ -285,9 +320,8 @@
       Option.Parts.push_back(Placed);
       Option.FirstTokenMs = std::max(Option.FirstTokenMs, Each.FirstTokenMs);
       Option.Loss += Each.Loss;
-      Uses.push_back(&Each);
     }
-    Option.Loss += splitLoss(Uses);
+    Option.Loss += splitLoss(Chosen);
     if (!assignMemory(Request, Candidates, Spec, Options, Option.Parts)) {
       Last = PlacementObstacle::Memory;
       continue;
