Keep the priority of late prompts only while their size is behind

Starvation only has to be prevented where a size is behind its share.

The admission now says whether a prompt goes to the engine as urgent: if it is predicted in time, or if its size is behind.

--- a/include/cassiashed/balancing/admission.h
+++ b/include/cassiashed/balancing/admission.h
@@ -56,6 +56,10 @@
 struct AdmissionDecision {
   Admission Next = Admission::Send;
   AdmissionGround Ground = AdmissionGround::Value;
+  /// Engines admit it before waiting requests that will be late. Of a size that
+  /// is behind its share also those are that will be late themselves: others
+  /// would pass them until their callers leave.
+  bool Urgent = true;
 };
 
 /// Decides admissions so that no size of a kind is starved: a prompt of a size
--- a/src/balancing/admission.cpp
+++ b/src/balancing/admission.cpp
@@ -85,7 +85,10 @@
                                            const PlacementRequest &Work,
                                            double WaitedMs, double TotalMs,
                                            TimePoint Now) {
-  const AdmissionDecision Result = weigh(Chosen, Work, WaitedMs, TotalMs, Now);
+  AdmissionDecision Result = weigh(Chosen, Work, WaitedMs, TotalMs, Now);
+  Result.Urgent =
+      Chosen.Urgent || Shares_.standingOf(Work.Kind, Work.PromptTokens, Now) ==
+                           SizeStanding::Behind;
   if (Result.Next != Admission::Wait)
     Shares_.note(Work.Kind, Work.PromptTokens, Result.Next == Admission::Send,
                  Now);
--- a/src/balancing/dispatcher.cpp
+++ b/src/balancing/dispatcher.cpp
@@ -147,10 +147,7 @@
   PlacementRequest Work = Request.Work;
   Work.Urgent = true;
   auto Chosen = choosePlacement(Work, Engines, Spec, Now, {}, &Result.Obstacle);
-  // A long prompt would be passed by every short one until its caller leaves.
-  const bool MayBePassed =
-      !engine::isLongRead(Spec, Work.PromptTokens, Work.PauseMs);
-  if (Chosen && Chosen->FirstTokenMs > Work.FirstTokenMs && MayBePassed) {
+  if (Chosen && Chosen->FirstTokenMs > Work.FirstTokenMs) {
     // Late ones are admitted last, so their place is predicted that way too.
     Work.Urgent = false;
     Chosen = choosePlacement(Work, Engines, Spec, Now, {}, &Result.Obstacle);
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -207,6 +207,7 @@
     const balancing::AdmissionDecision Decided = State_.Admission.decide(
         Decision.Chosen, Wanted_.Work, Context.WaitedMs, Context.TotalMs, Now);
     Decision.Next = Decided.Next;
+    Decision.Chosen.Urgent = Decided.Urgent;
     if (Decided.Next == balancing::Admission::Refuse)
       logAdmissionRefusal(State_, Wanted_, Decision.Chosen, Decided.Ground,
                           Now);
--- a/src/gateway/shared_placement.cpp
+++ b/src/gateway/shared_placement.cpp
@@ -148,7 +148,7 @@
   for (const std::string &Id : Question.Excluded)
     if (const catalog::EndpointRef Known = State_.Directory.find(Id))
       Wanted.Excluded.insert(Known->Number);
-  const balancing::Dispatch Chosen =
+  balancing::Dispatch Chosen =
       State_.Dispatcher.choose(Wanted, Now, State_.Random);
   Answer.Failure = static_cast<std::uint32_t>(Chosen.Failure);
   Answer.RetryAfterMs = static_cast<double>(Chosen.RetryAfter.count());
@@ -161,11 +161,13 @@
   Answer.FirstTokenMs = Chosen.FirstTokenMs;
   Answer.LossToOthers = Chosen.LossToOthers;
   Answer.LossToLater = Chosen.LossToLater;
-  Answer.Urgent = Chosen.Urgent;
   balancing::AdmissionDecision Decided;
-  if (!Question.IsRepeat)
+  if (!Question.IsRepeat) {
     Decided = State_.Admission.decide(Chosen, Wanted.Work, Question.WaitedMs,
                                       Question.TotalMs, Now);
+    Chosen.Urgent = Decided.Urgent;
+  }
+  Answer.Urgent = Chosen.Urgent;
   const balancing::Admission Next = Decided.Next;
   Answer.Next = static_cast<std::uint32_t>(Next);
   if (Next == balancing::Admission::Wait)
