List a mix that still starves a size

Played by hand, 599 of 600 mixes of the property test keep each size's share; seed 294 does not (8 prompts of the largest size asked, none served). No change of logic.

--- a/src/balancing/size_guarantee_test.cpp
+++ b/src/balancing/size_guarantee_test.cpp
@@ -99,6 +99,24 @@
   return Bands;
 }
 
+void checkMix(unsigned Seed) {
+  std::mt19937_64 Random(Seed);
+  const Mix Load = drawMix(Random);
+  const std::map<int, SizeCount> Bands = play(Load, Random);
+  CAPTURE(Seed);
+  CAPTURE(Load.Engines);
+  CAPTURE(Load.ShortPerSecond);
+  CAPTURE(Load.LongPerSecond);
+  CAPTURE(Load.MeanTokens);
+  const std::vector<int> Starved = starvedBands(Bands, 6);
+  for (const int Band : Starved) {
+    CAPTURE(Band);
+    CAPTURE(Bands.at(Band).Asked);
+    CAPTURE(Bands.at(Band).Served);
+    CHECK(false);
+  }
+}
+
 } // namespace
 
 // Guards against admission by value for work, which refuses the largest prompts
@@ -111,21 +129,12 @@
        {64U, 91U, 158U, 196U, 200U, 212U, 229U, 256U, 310U, 319U, 369U, 383U,
         402U, 501U, 517U, 533U, 592U})
     Seeds.push_back(Seed);
-  for (const unsigned Seed : Seeds) {
-    std::mt19937_64 Random(Seed);
-    const Mix Load = drawMix(Random);
-    const std::map<int, SizeCount> Bands = play(Load, Random);
-    CAPTURE(Seed);
-    CAPTURE(Load.Engines);
-    CAPTURE(Load.ShortPerSecond);
-    CAPTURE(Load.LongPerSecond);
-    CAPTURE(Load.MeanTokens);
-    const std::vector<int> Starved = starvedBands(Bands, 6);
-    for (const int Band : Starved) {
-      CAPTURE(Band);
-      CAPTURE(Bands.at(Band).Asked);
-      CAPTURE(Bands.at(Band).Served);
-      CHECK(false);
-    }
-  }
+  for (const unsigned Seed : Seeds)
+    checkMix(Seed);
+}
+
+// Guards against the same; a known failure, see KNOWN-RED.txt.
+TEST_CASE("no size of a kind is starved by a mix that still starves one" *
+          doctest::should_fail()) {
+  checkMix(294);
 }
