--- a/review/3/case.py
+++ b/review/3/case.py
@@ -6,7 +6,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
-from harness import ENGINE, TROUBLE, Client, Gateway, Replica, Store, config, ends_lost, main, route
+from harness import STABILITY_WINDOW_S, ENGINE, TROUBLE, Client, Gateway, Replica, Store, config, ends_lost, main, route
 
 PROMPT_TOKENS, OUTPUT_TOKENS = 300000, 300  # more than the memory of one engine
 DEADLINE_S = 15.0
@@ -42,7 +42,7 @@
     gateway = Gateway(directory, "front-1", store, record)
     cleanups.append(gateway.close)
     gateway.wait_ready()
-    time.sleep(3.2)  # stabilityWindowMs after the start
+    time.sleep(STABILITY_WINDOW_S + 0.2)
     names = ("ledger-0", "ledger-1")
     clients = [Client(record, gateway, name, 14.9, path="/ledger/x", method="POST", body=b"prompt",
                       deadline_ms=int(DEADLINE_S * 1000), Token_Counts=f"{PROMPT_TOKENS},{OUTPUT_TOKENS}", Model="m")
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -6,7 +6,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
-from harness import TROUBLE, Client, Gateway, Replica, Store, config, ends_lost, main, read_ms, route
+from harness import STABILITY_WINDOW_S, TROUBLE, Client, Gateway, Replica, Store, config, ends_lost, main, read_ms, route
 
 PROMPT_TOKENS = 200000  # fits into one engine's memory of 232,000 tokens
 OUTPUT_TOKENS = 500
@@ -44,7 +44,7 @@
     gateway = Gateway(directory, "front-1", store, record)
     cleanups.append(gateway.close)
     gateway.wait_ready()
-    time.sleep(3.2)  # stabilityWindowMs after the start
+    time.sleep(STABILITY_WINDOW_S + 0.2)
     kinds = ("resumable", "once")
     clients = [Client(record, gateway, f"ledger-{kind}", PATIENCE_S, path=f"/{kind}/ledger", method="POST",
                       body=b"prompt", deadline_ms=int(DEADLINE_S * 1000),
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,7 +6,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib"))
-from harness import TROUBLE, Client, Gateway, Replica, Store, config, ends_lost, free_ports, main, now, route
+from harness import STABILITY_WINDOW_S, TROUBLE, Client, Gateway, Replica, Store, config, ends_lost, free_ports, main, now, route
 
 PROMPT_TOKENS, OUTPUT_TOKENS = 45000, 800  # account-summary on the sheet
 DEADLINE_S = 10.0
@@ -47,7 +47,7 @@
         cleanups.append(gateways[-1].close)
     for gateway in gateways:
         gateway.wait_ready()
-    time.sleep(3.2)  # stabilityWindowMs after the start
+    time.sleep(STABILITY_WINDOW_S + 0.2)
 
     def ask(name, gateway):
         return Client(record, gateway, name, PATIENCE_S, path="/summary/x", method="POST", body=b"prompt",
