Keep silent streams that nobody else can continue

Callers saw streams that were cut 2.5 to 3 s after their last event, and 502 for streams that had not begun, although their engine went on later.

Cause: limits on silence closed the connection first and asked afterwards whether another attempt was allowed. They held also where no other endpoint could go on, and were shorter than the time in which an engine reads a preempted prompt again.

Change: when a limit passes, the attempt is given up only if the route allows another one, the retry budget has one and the dispatcher finds an endpoint; else the limit is checked again. Long prompts get the time to be read again. The same for the first byte, and for answers of idempotent calls, where each piece that arrives extends the limit.

--- a/include/cassiashed/balancing/first_byte_timeout.h
+++ b/include/cassiashed/balancing/first_byte_timeout.h
@@ -26,4 +26,10 @@
 /// ```
 std::optional<Duration> firstByteTimeout(const SentRequest &Sent);
 
+/// How long a stream that has started may be silent before it is resumed at
+/// another endpoint. An engine that ran out of memory reads the whole prompt
+/// again before the stream goes on, so long prompts get more time. `Prefill`:
+/// time to read the prompt alone.
+Duration streamIdleTimeout(Duration TokenGapTarget, Duration Prefill);
+
 } // namespace cassiashed::balancing
--- a/include/cassiashed/balancing/retry_share.h
+++ b/include/cassiashed/balancing/retry_share.h
@@ -28,6 +28,8 @@
   void setOptions(RetryShareOptions Options) { Options_ = Options; }
 
   void recordFirstAttempt(const std::string &Service, TimePoint Now);
+  /// Whether this node's share, one of `NodeCount`, allows a retry.
+  bool canSpendRetry(const std::string &Service, int NodeCount, TimePoint Now);
   /// Takes one retry from this node's share, one of `NodeCount`. Returns false
   /// if the share is used up.
   bool trySpendRetry(const std::string &Service, int NodeCount, TimePoint Now);
--- a/src/balancing/first_byte_timeout_test.cpp
+++ b/src/balancing/first_byte_timeout_test.cpp
@@ -27,3 +27,19 @@
         Duration(500));
   CHECK_FALSE(firstByteTimeout({false, Duration(0), 1, Duration(1000), false}));
 }
+
+// Guards against streams that are given up although nobody may repeat them.
+TEST_CASE("a request that nobody else may run waits until its deadline") {
+  CHECK_FALSE(
+      firstByteTimeout({true, Duration(20), 1, Duration(10000), false}));
+  CHECK_FALSE(
+      firstByteTimeout({true, Duration(20), 8, Duration(10000), false}));
+}
+
+// Guards against streams that are resumed elsewhere while their engine reads a
+// preempted prompt again.
+TEST_CASE("a stream with a long prompt may be silent while it is read again") {
+  CHECK(streamIdleTimeout(Duration(250), Duration(30)) == Duration(2500));
+  CHECK(streamIdleTimeout(Duration(1000), Duration(30)) == Duration(3000));
+  CHECK(streamIdleTimeout(Duration(1000), Duration(3700)) > Duration(3700));
+}
--- a/src/balancing/retry_share.cpp
+++ b/src/balancing/retry_share.cpp
@@ -23,7 +23,7 @@
   Entry.FirstAttempts.push_back(Now);
 }
 
-bool RetryShare::trySpendRetry(const std::string &Service, int NodeCount,
+bool RetryShare::canSpendRetry(const std::string &Service, int NodeCount,
                                TimePoint Now) {
   Window &Entry = Windows_[Service];
   dropExpired(Entry.FirstAttempts, Now);
@@ -32,9 +32,14 @@
                              static_cast<double>(Entry.FirstAttempts.size()) *
                              UsedFraction +
                          Options_.Slack / std::max(1, NodeCount) * UsedFraction;
-  if (static_cast<double>(Entry.Retries.size()) + 1 > Allowed)
+  return static_cast<double>(Entry.Retries.size()) + 1 <= Allowed;
+}
+
+bool RetryShare::trySpendRetry(const std::string &Service, int NodeCount,
+                               TimePoint Now) {
+  if (!canSpendRetry(Service, NodeCount, Now))
     return false;
-  Entry.Retries.push_back(Now);
+  Windows_[Service].Retries.push_back(Now);
   return true;
 }
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -28,6 +28,9 @@
 /// part of a prefill step.
 constexpr double OutputTokenWeight = 10;
 constexpr double TokensPerValue = 10000;
+/// How often a request whose endpoint is silent checks whether another one
+/// could take over.
+constexpr Duration SilenceCheckPeriod{250};
 constexpr Duration QuarantineRetryAfter{5000};
 constexpr Duration NoConfigRetryAfter{1000};
 /// Another node may know the keys; a caller that retries may reach it.
@@ -167,14 +170,33 @@
     return;
   }
   if (Now >= EndpointDeadline_ && ActiveConnection_) {
-    EndpointTimedOut_ = true;
-    EndpointDeadline_ = TimePoint::max();
-    Code Ignored;
-    ActiveConnection_->Socket.close(Ignored);
+    if (canContinueElsewhere())
+      abandonEndpoint();
+    else
+      EndpointDeadline_ = Now + SilenceCheckPeriod;
   }
   armTimeoutTimer();
 }
 
+void Exchange::abandonEndpoint() {
+  EndpointTimedOut_ = true;
+  EndpointDeadline_ = TimePoint::max();
+  Code Ignored;
+  ActiveConnection_->Socket.close(Ignored);
+}
+
+bool Exchange::canContinueElsewhere() {
+  if (!allowsAnotherAttempt() || (AnswerStarted_ && !isAnswerResumable()))
+    return false;
+  const TimePoint Now = State_.now();
+  if (!State_.Retries.canSpendRetry(Service_->Name, State_.sharingNodes(), Now))
+    return false;
+  DispatchRequest_.Work.DeadlineMs =
+      static_cast<double>(remainingTime().count());
+  return !State_.Dispatcher.choose(DispatchRequest_, Now, State_.Random)
+              .Endpoints.empty();
+}
+
 void Exchange::cancel(CancelReason Reason) {
   if (CancelReason_ != CancelReason::None)
     return;
@@ -302,6 +324,16 @@
   co_return Chosen;
 }
 
+bool Exchange::isAnswerResumable() const {
+  // Resumes after the last event that the caller received.
+  return Route_->Resumable && AnswerHead_.Body != Framing::Length;
+}
+
+bool Exchange::allowsAnotherAttempt() const {
+  return Route_->isRetryable() &&
+         SentAttempts_ < std::max(1, Route_->MaxAttempts);
+}
+
 bool Exchange::shouldRetry(AttemptResult Result) {
   if (CancelReason_ != CancelReason::None || KeyNotConfirmed_)
     return false;
@@ -318,8 +350,7 @@
       return false;
     break;
   case AttemptResult::Broken:
-    // Resumes after the last event that the caller received.
-    if (!Route_->Resumable || AnswerHead_.Body == Framing::Length)
+    if (!isAnswerResumable())
       return false;
     break;
   }
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange_internal.h"
 
+#include "cassiashed/balancing/first_byte_timeout.h"
 #include <boost/asio/write.hpp>
 
 namespace cassiashed::gateway {
@@ -11,12 +12,6 @@
 constexpr std::size_t PieceBytes = 8 * 1024;
 /// Limit for an answer that states no length; a longer one is cut off.
 constexpr std::size_t MaxUnsizedAnswerBytes = 16 * 1024 * 1024;
-/// A running stream is resumed at another endpoint after this time without
-/// bytes, in multiples of the route's token gap target.
-constexpr double IdleTimeoutInTokenGaps = 3;
-/// Engines whose work depends on a lost engine stall for 1.5 s before they
-/// report it.
-constexpr Duration MinStreamIdleTimeout{2500};
 
 } // namespace
 
@@ -74,12 +69,19 @@
   co_return !Failure;
 }
 
+Duration Exchange::streamIdleTimeout() const {
+  const double PrefillMs =
+      Service_->Engine
+          ? engine::prefillMs(*Service_->Engine, 0, RequestHead_.PromptTokens)
+          : 0;
+  return balancing::streamIdleTimeout(
+      Route_->TokenGapTarget,
+      Duration(static_cast<Duration::rep>(std::min(1e6, PrefillMs))));
+}
+
 http::Task<AttemptResult> Exchange::relayStream(EndpointConnection &Connection,
                                                 ResponseParser &Parser) {
-  const Duration IdleTimeout =
-      std::max(MinStreamIdleTimeout,
-               std::chrono::duration_cast<Duration>(Route_->TokenGapTarget *
-                                                    IdleTimeoutInTokenGaps));
+  const Duration IdleTimeout = streamIdleTimeout();
   // A stream that states its length, or that cannot be resumed, is passed on
   // as it comes.
   const bool SendsWholeEvents =
@@ -125,12 +127,21 @@
   }
 }
 
+TimePoint Exchange::wholeAnswerDeadline() const {
+  balancing::SentRequest Sent;
+  Sent.Remaining = remainingTime();
+  Sent.CanRetryElsewhere = allowsAnotherAttempt();
+  const std::optional<Duration> Timeout = balancing::firstByteTimeout(Sent);
+  return Timeout ? State_.now() + *Timeout : TimePoint::max();
+}
+
 http::Task<AttemptResult> Exchange::relayWhole(EndpointConnection &Connection,
                                                ResponseParser &Parser) {
   BufferedAnswer Answer;
   Answer.Head = makeAnswerHead(Parser);
   std::string Piece;
   while (!Parser.is_done() && Answer.Body.size() < MaxBufferedAnswerBytes) {
+    setEndpointDeadline(wholeAnswerDeadline());
     const bool Read = co_await readPiece(Connection, Parser, Piece);
     if (!Read)
       co_return AttemptResult::Failed;
@@ -148,6 +159,7 @@
   }
   // Too large to buffer: passed on as it comes.
   AnswerStarted_ = true;
+  setEndpointDeadline(TimePoint::max());
   std::string Bytes = formatAnswerHead(Answer.Head);
   Bytes += Answer.Head.Body == Framing::Chunked ? formatChunk(Answer.Body)
                                                 : Answer.Body;
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -302,8 +302,7 @@
       Duration(static_cast<Duration::rep>(std::min(1e6, Chosen.FirstTokenMs)));
   Sent.PrefillEngines = Chosen.Endpoints.size();
   Sent.Remaining = remainingTime();
-  Sent.CanRetryElsewhere =
-      Route_->isRetryable() && SentAttempts_ < Route_->MaxAttempts;
+  Sent.CanRetryElsewhere = allowsAnotherAttempt();
   const std::optional<Duration> Timeout = balancing::firstByteTimeout(Sent);
   return Timeout ? State_.now() + *Timeout : TimePoint::max();
 }
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -74,9 +74,15 @@
 
   // Time limits and disconnection of the caller.
   void armTimeoutTimer();
-  /// Sets when the current attempt ends unless the endpoint sends bytes.
+  /// Sets when the current attempt ends unless the endpoint sends bytes or no
+  /// other endpoint could continue the request.
   void setEndpointDeadline(TimePoint At);
   void onTimeout();
+  /// Ends the current attempt because its endpoint has been silent.
+  void abandonEndpoint();
+  /// Whether another endpoint could take over the current attempt now. The
+  /// silence of an endpoint alone is no reason to end its answer.
+  bool canContinueElsewhere();
   void watchCaller();
   void cancel(CancelReason Reason);
 
@@ -97,9 +103,13 @@
   http::Task<AttemptResult> attempt(const Dispatch &Chosen);
   /// When the attempt ends if the endpoint has sent no byte of its answer.
   TimePoint firstByteDeadline(const Dispatch &Chosen) const;
+  /// When an answer that is read whole is abandoned unless more of it arrives.
+  TimePoint wholeAnswerDeadline() const;
   http::Task<AttemptResult>
   receive(const Dispatch &Chosen, EndpointConnectionPtr &Connection,
           const std::shared_ptr<PendingWrite> &Sending);
+  /// How long a stream may be silent before another endpoint takes over.
+  Duration streamIdleTimeout() const;
   http::Task<AttemptResult> relayStream(EndpointConnection &Connection,
                                         ResponseParser &Parser);
   http::Task<AttemptResult> relayWhole(EndpointConnection &Connection,
@@ -134,6 +144,10 @@
   /// Whether another attempt is made; uses up a part of the service's retry
   /// budget if the last attempt was sent.
   bool shouldRetry(AttemptResult Result);
+  /// Whether the route allows one more attempt after one that may have run.
+  bool allowsAnotherAttempt() const;
+  /// Whether the rest of a started answer may come from another endpoint.
+  bool isAnswerResumable() const;
   /// Time until the deadline of the request.
   Duration remainingTime() const;
 
--- /dev/null
+++ b/tests/process/gateway_silence_test.py
@@ -0,0 +1,76 @@
+"""Replicas that are silent for a while in the middle of their work."""
+
+import time
+import unittest
+
+from gateway_fixture import EVENTS, WHOLE, GatewayCase, make_config, route
+
+
+class SilenceTest(GatewayCase):
+    def setUp(self):
+        super().setUp()
+        self.store.put("op", "config", make_config(4, [
+            route("/get/", "idempotent", "app", timeoutMs=8000),
+            route("/stream/", "streaming", "llm", resumable=True, targetGapMs=250, timeoutMs=12000),
+            route("/once/", "streaming", "llm", targetGapMs=250, timeoutMs=12000),
+        ]))
+        self.wait_for(lambda: b"event=config_in_force version=4" in self.gateway.log_path.read_bytes(), "version 4")
+
+    def leave_one_engine(self):
+        self.store.remove("servers", "llm-1")
+        self.wait_for(lambda: b"event=endpoint_removed endpoint=llm-1" in self.gateway.log_path.read_bytes(),
+                      "one engine is left")
+
+    def ask(self, path):
+        return self.call(path, "POST", b"prompt", deadline_ms=12000, **{"Token-Counts": "5000,300"})
+
+    # Guards against streams that are cut while their only engine reads a preempted prompt again.
+    def test_a_silent_stream_goes_on_where_no_other_engine_could_resume_it(self):
+        self.leave_one_engine()
+        self.llm[0].script = ["pause:4"]
+        for path in ("/stream/x", "/once/x"):
+            status, _, body = self.ask(path)
+            self.assertEqual((status, body), (200, EVENTS), path)
+        self.assertEqual(len(self.llm[0].requests), 2)
+
+    # Guards against a second run, or a 502, of a stream that may not be repeated.
+    def test_a_stream_that_may_not_be_repeated_waits_for_its_first_event(self):
+        for each in self.llm:
+            each.script = ["late:3"]
+        status, _, body = self.ask("/once/x")
+        self.assertEqual((status, body), (200, EVENTS))
+        self.assertEqual(len(self.requests(self.llm)), 1)
+
+    # Guards against a resumable stream that is abandoned before its first event with no other engine left.
+    def test_a_late_first_event_is_awaited_where_no_other_engine_is_left(self):
+        self.leave_one_engine()
+        self.llm[0].script = ["late:3"]
+        status, _, body = self.ask("/stream/x")
+        self.assertEqual((status, body), (200, EVENTS))
+
+    def test_a_silent_stream_is_resumed_at_another_engine(self):
+        self.share_script(self.llm, ["pause:9", "events"])
+        begin = time.monotonic()
+        status, _, body = self.ask("/stream/x")
+        self.assertEqual((status, body), (200, EVENTS))
+        self.assertLess(time.monotonic() - begin, 5)
+        self.assertEqual(len(self.requests(self.llm)), 2)
+
+    # Guards against answers of idempotent calls that are cut, while they arrive, at half of their time.
+    def test_an_answer_that_is_still_arriving_is_not_cut(self):
+        self.share_script(self.app, ["slow:2.4"])
+        self.assertEqual(self.call("/get/x", deadline_ms=4000)[::2], (200, WHOLE))
+        self.assertEqual(len(self.requests(self.app)), 1)
+
+    # Guards against calls that end with a time-out although no other replica could answer them.
+    def test_a_late_answer_is_awaited_where_no_other_replica_is_left(self):
+        self.store.remove("servers", "app-1")
+        self.wait_for(lambda: b"event=endpoint_removed endpoint=app-1" in self.gateway.log_path.read_bytes(),
+                      "one replica is left")
+        self.app[0].script = ["late:2.5"]
+        status, _, body = self.call("/get/x", deadline_ms=4000)
+        self.assertEqual((status, body), (200, EVENTS))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -27,7 +27,9 @@
     """Behaviours of `script`: "ok", "events", "cut" (in the middle of an event),
     "reset" (after the request was read), "refuse" (not run), "truncate",
     "unsigned", "foreign" (an answer to another request first), "mute",
-    "error" (its own 500), "unframed" (ends with its connection). Bytes without
+    "error" (its own 500), "unframed" (ends with its connection), "late:S" (events
+    after S seconds), "pause:S" (S seconds between two events), "slow:S" (a body
+    that takes S seconds). Bytes without
     end until the caller closes: "endless_head", "endless_event" (after two whole
     events), "dripped_event" (the same, byte by byte), "endless_foreign" (an
     answer to another request), "endless_body"."""
@@ -130,6 +132,16 @@
         elif behaviour.startswith(("endless", "dripped")):
             self._send_without_end(connection, fields, behaviour)
             return False
+        elif behaviour.startswith("late:"):
+            time.sleep(float(behaviour[5:]))
+            return self._stream(connection, fields)
+        elif behaviour.startswith("pause:"):
+            return self._stream(connection, fields, pause=float(behaviour[6:]))
+        elif behaviour.startswith("slow:"):
+            answer = self._whole(fields)
+            for piece in (answer[:-4], answer[-4:-3], answer[-3:-2], answer[-2:-1], answer[-1:]):
+                connection.sendall(piece)
+                time.sleep(float(behaviour[5:]) / 4)
         elif behaviour in ("events", "cut"):
             return self._stream(connection, fields, behaviour == "cut")
         return True
@@ -155,14 +167,16 @@
             if behaviour == "dripped_event":
                 time.sleep(0.05)
 
-    def _stream(self, connection, fields, cut):
-        """Six events; the ids go on after Last-Event-Id."""
+    def _stream(self, connection, fields, cut=False, pause=0):
+        """Six events; the ids go on after Last-Event-Id. `pause`: seconds before the third."""
         connection.sendall(self._head("200 OK", fields, [f"Response-Signature: {self.identity}",
                                                          "Content-Type: text/event-stream",
                                                          "Transfer-Encoding: chunked"]))
         first = int(fields.get("last-event-id", 0)) + 1
         for number in range(first, 7):
             event = f"id: {number}\ndata: token {number}\n\n".encode()
+            if number == 3:
+                time.sleep(pause)
             if cut and number == 3:
                 event = event[:9]
             connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
