Read rows of another node once, as long as they arrive

Callers saw dropped routes that still ran and new routes refused with 404 for 18 s and longer after a zone cut had healed.

Cause: a gateway that lacked a row started a read of it from another node every 0.15 to 0.45 s beside those under way, and gave each up 1 s after its begin however much had arrived. Several reads of a configuration of 1 MB on one link of 20 Mbit/s defeat each other.

Change: one read of a table from other nodes at a time, and no read of the store beside it. Calls have a limit until the head, one for a pause and one for the whole body, instead of one for everything.

--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -58,9 +58,13 @@
 constexpr Duration RoleCheckPeriod{200};
 constexpr Duration InitialBackoff{100};
 constexpr Duration MaxBackoff{1500};
-constexpr Duration PeerReadTimeout{1000};
-/// Another node's rows of one table: some hundred of at most 64 KiB.
-constexpr std::size_t MaxPeerReadBytes = 16 * 1024 * 1024;
+/// Another node's rows of one table: some hundred of at most 64 KiB, or a large
+/// configuration. Nodes that ask at the same time share the link of the node
+/// that answers, so a read goes on as long as bytes arrive.
+constexpr http::FetchLimits PeerReadLimits = {.HeadTimeout = Duration(1000),
+                                              .PauseTimeout = Duration(1000),
+                                              .BodyTimeout = Duration(10000),
+                                              .MaxBytes = 16 * 1024 * 1024};
 
 using catalog::nameOf;
 
@@ -116,6 +120,9 @@
   }
 
   void fetchFrom(Table TableId, http::Address Peer) override {
+    if (stateOf(TableId).PeerReadInProgress)
+      return; // a second read would only slow the first one down
+    stateOf(TableId).PeerReadInProgress = true;
     asio::co_spawn(State_.Context, fetch(TableId, std::move(Peer)),
                    asio::detached);
   }
@@ -154,9 +161,10 @@
     /// The store's steady clock at its last answer.
     std::optional<Duration> LastStoreTime;
     std::optional<PeerCopy> NewerPeerCopy;
-    BootTime RefreshTriedAt; ///< when a refresh was last due
-    bool RefreshInProgress = false;
-    bool WasWithinBound = true; ///< in the last log line
+    BootTime RefreshTriedAt;         ///< when a refresh was last due
+    bool RefreshInProgress = false;  ///< a read from the store
+    bool PeerReadInProgress = false; ///< a read from another node
+    bool WasWithinBound = true;      ///< in the last log line
   };
 
   TableState &stateOf(Table TableId) {
@@ -201,6 +209,10 @@
                     : catalog::storeReadProbability(
                           State_.Nodes->possibleNodes(),
                           hasFreshNewerPeerCopy(TableId, Now));
+    // The rows that another node sends would arrive twice, and both reads
+    // would share the link of this one.
+    if (Own.PeerReadInProgress)
+      return;
     if (std::bernoulli_distribution(ReadProbability)(State_.Random))
       startRefresh(TableId);
   }
@@ -416,8 +428,9 @@
     Call.Target = "/rows/" + std::string(nameOf(TableId)) + "?after=" +
                   std::to_string(replica(TableId).completeVersion());
     const std::string PeerHost = Peer.Host;
-    std::optional<http::Response> Reply = co_await http::fetch(
-        std::move(Peer), Call, PeerReadTimeout, nullptr, MaxPeerReadBytes);
+    std::optional<http::Response> Reply =
+        co_await http::fetch(std::move(Peer), Call, PeerReadLimits);
+    stateOf(TableId).PeerReadInProgress = false;
     std::string Reason = "no answer";
     std::optional<RowBatch> Batch;
     if (Reply && Reply->Status == 200)
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -141,25 +141,31 @@
   return std::make_shared<ClientStreamImpl>(std::move(Executor), Options);
 }
 
-Task<std::optional<Response>> fetch(Address Peer, Request Message,
-                                    Duration Timeout, ClientFailure *Failure,
-                                    std::size_t MaxBytes) {
-  // A peer that sends byte by byte must not stretch the call.
-  const TimePoint EndsAt = SteadyClock().now() + Timeout;
-  const auto Left = [EndsAt] {
+namespace {
+
+/// Counts down to a deadline.
+class Countdown {
+public:
+  explicit Countdown(Duration Timeout)
+      : EndsAt_(SteadyClock().now() + Timeout) {}
+  /// At least 1 ms, so that a deadline that has passed still ends an operation.
+  Duration left() const {
     return std::max(Duration(1), std::chrono::duration_cast<Duration>(
-                                     EndsAt - SteadyClock().now()));
-  };
-  const auto Stream =
-      makeClientStream(co_await asio::this_coro::executor,
-                       {.ConnectTimeout = Timeout, .WriteTimeout = Timeout});
-  std::optional<Response> Reply;
-  const bool Started =
-      co_await Stream->start(std::move(Peer), std::move(Message));
-  if (Started)
-    Reply = co_await Stream->readHead(Left());
+                                     EndsAt_ - SteadyClock().now()));
+  }
+
+private:
+  TimePoint EndsAt_;
+};
+
+/// Appends the body to `Reply`; resets it if the body cannot be read. A peer
+/// that sends byte by byte must not stretch the call, so `Body` limits the sum
+/// of the pauses.
+Task<void> readBody(ClientStream &Stream, Countdown Body, Duration PauseTimeout,
+                    std::size_t MaxBytes, std::optional<Response> &Reply) {
   while (Reply) {
-    std::optional<std::string> Piece = co_await Stream->readSome(Left());
+    std::optional<std::string> Piece =
+        co_await Stream.readSome(std::min(Body.left(), PauseTimeout));
     if (!Piece || Reply->Body.size() + Piece->size() > MaxBytes)
       Reply.reset();
     else if (Piece->empty())
@@ -167,9 +173,35 @@
     else
       Reply->Body += *Piece;
   }
+}
+
+} // namespace
+
+Task<std::optional<Response>> fetch(Address Peer, Request Message,
+                                    FetchLimits Limits,
+                                    ClientFailure *Failure) {
+  const Countdown Head(Limits.HeadTimeout);
+  const auto Stream = makeClientStream(co_await asio::this_coro::executor,
+                                       {.ConnectTimeout = Limits.HeadTimeout,
+                                        .WriteTimeout = Limits.HeadTimeout});
+  std::optional<Response> Reply;
+  const bool Started =
+      co_await Stream->start(std::move(Peer), std::move(Message));
+  if (Started)
+    Reply = co_await Stream->readHead(Head.left());
+  const Countdown Body =
+      Limits.BodyTimeout.count() > 0 ? Countdown(Limits.BodyTimeout) : Head;
+  co_await readBody(*Stream, Body, Limits.PauseTimeout, Limits.MaxBytes, Reply);
   if (Failure)
     *Failure = Stream->failure();
   co_return Reply;
 }
 
+Task<std::optional<Response>> fetch(Address Peer, Request Message,
+                                    Duration Timeout, ClientFailure *Failure,
+                                    std::size_t MaxBytes) {
+  return fetch(std::move(Peer), std::move(Message),
+               FetchLimits{Timeout, Timeout, Duration(0), MaxBytes}, Failure);
+}
+
 } // namespace cassiashed::http
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -61,6 +61,22 @@
 /// Bytes of a reply that `fetch` reads if nothing else is said.
 inline constexpr std::size_t MaxReplyBytes = 64 * 1024 * 1024;
 
+/// Time and size limits of one call. With a `BodyTimeout`, a large reply on a
+/// slow link is not abandoned while it arrives.
+struct FetchLimits {
+  Duration HeadTimeout{1000};  ///< until the head of the reply is read
+  Duration PauseTimeout{1000}; ///< longest time without bytes of the body
+  /// For the whole body, from the end of the head on. 0: the body has to arrive
+  /// within the rest of `HeadTimeout`.
+  Duration BodyTimeout{0};
+  std::size_t MaxBytes = MaxReplyBytes;
+};
+
+/// Sends one request and reads the whole reply within `Limits`.
+Task<std::optional<Response>> fetch(Address Peer, Request Message,
+                                    FetchLimits Limits,
+                                    ClientFailure *Failure = nullptr);
+
 /// Sends one request and reads the whole reply within `Timeout`, up to
 /// `MaxBytes`.
 Task<std::optional<Response>> fetch(Address Peer, Request Message,
--- a/tests/standins/users_platform/store.py
+++ b/tests/standins/users_platform/store.py
@@ -9,10 +9,12 @@
 
 
 class Store:
-    """Rows by (table, key). `mode` makes it fail: "ok", "busy" or "silent"."""
+    """Rows by (table, key). `mode` makes it fail: "ok", "busy" or "silent".
+    `body_seconds`: time in which the body of an answer arrives."""
 
     def __init__(self):
         self.mode = "ok"
+        self.body_seconds = 0
         self._forgotten_polls = 0
         self._polls = 0
         self._rows = {}
@@ -137,14 +139,17 @@
             status, answer = 503, {}
         self._reply(call, status, answer)
 
-    @staticmethod
-    def _reply(call, status, answer):
+    def _reply(self, call, status, answer):
         text = json.dumps(answer).encode()
         try:
             call.send_response(status)
             call.send_header("Content-Type", "application/json")
             call.send_header("Content-Length", str(len(text)))
             call.end_headers()
-            call.wfile.write(text)
+            pieces = 20 if self.body_seconds else 1
+            size = -(-len(text) // pieces)
+            for at in range(0, len(text), size):
+                call.wfile.write(text[at:at + size])
+                time.sleep(self.body_seconds / pieces)
         except OSError:
             pass  # the caller is gone
