Answer waiting requests when a gateway stops

Callers saw their connections closed without a byte 7.6 s after a SIGTERM, for requests that no endpoint had received.

Cause: whether a request can still be finished was asked once, when it arrived. One that waited for memory when the shutdown began was not asked again. A failed reservation was repeated at once, without a pause.

Change: the question is asked before each placement and again before the send. 0.8 s before the kill, each request whose answer has not started gets 503 if no endpoint received it, 502 otherwise. A request waits 30 to 480 ms after a failed reservation.

--- a/include/cassiashed/balancing/dispatcher.h
+++ b/include/cassiashed/balancing/dispatcher.h
@@ -32,10 +32,11 @@
 
 enum class DispatchFailure {
   None,
-  NoEndpoint, ///< none is registered and in service
-  AllCold,    ///< every cold endpoint is at its request limit
-  AllBusy,    ///< no endpoint has free capacity in time
-  CostsOthers ///< others would lose more than the request gains
+  NoEndpoint,  ///< none is registered and in service
+  AllCold,     ///< every cold endpoint is at its request limit
+  AllBusy,     ///< no endpoint has free capacity in time
+  CostsOthers, ///< others would lose more than the request gains
+  ShuttingDown ///< this process ends before the request could finish
 };
 std::string_view nameOf(DispatchFailure Failure);
 
--- a/src/balancing/dispatcher.cpp
+++ b/src/balancing/dispatcher.cpp
@@ -21,8 +21,9 @@
 } // namespace
 
 std::string_view nameOf(DispatchFailure Failure) {
-  static constexpr std::array<std::string_view, 5> Names = {
-      "none", "no_endpoint", "all_cold", "all_busy", "costs_others"};
+  static constexpr std::array<std::string_view, 6> Names = {
+      "none",     "no_endpoint",  "all_cold",
+      "all_busy", "costs_others", "stopping"};
   return Names[static_cast<std::size_t>(Failure)];
 }
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -285,6 +285,11 @@
   DispatchRequest_.Work.Id = State_.NextWorkId++;
   Dispatch Chosen;
   while (true) {
+    if (isTooLateToStart()) {
+      Chosen = Dispatch{};
+      Chosen.Failure = balancing::DispatchFailure::ShuttingDown;
+      break;
+    }
     const TimePoint Now = State_.now();
     State_.Dispatcher.setNodeCount(State_.sharingNodes());
     DispatchRequest_.Work.DeadlineMs =
@@ -360,8 +365,13 @@
                                       State_.now());
 }
 
+void Exchange::endUnanswered() {
+  if (!AnswerStarted_)
+    cancel(CancelReason::ShuttingDown);
+}
+
 http::Task<bool> Exchange::run() {
-  ++State_.ActiveRequests;
+  State_.ActiveRequests.insert(this);
   RequestHead_ = State_.Protocol.readCallerHead(Request_.Fields);
   std::string Reason;
   const int Refusal = resolve(Reason);
@@ -378,8 +388,6 @@
     if (State_.Crashes.isRefused(ContentHash_, Now)) {
       co_await answerWithError(503, QuarantineRetryAfter,
                                "content crashed endpoints");
-    } else if (isTooLateToStart()) {
-      co_await answerWithError(503, Duration(0), "stopping");
     } else {
       armTimeoutTimer();
       watchCaller();
@@ -420,10 +428,15 @@
   TimeoutTimer_.cancel();
   Code Ignored;
   Caller_.cancel(Ignored);
-  --State_.ActiveRequests;
+  State_.ActiveRequests.erase(this);
   co_return AnswerComplete_ &&Request_.KeepAlive && !State_.Stopping;
 }
 
+void endUnansweredRequests(GatewayState &State) {
+  for (Exchange *Request : State.ActiveRequests)
+    Request->endUnanswered();
+}
+
 http::Task<bool> serveRequest(GatewayState &State, Tcp::socket &Caller,
                               ReceivedRequest &Request) {
   const auto Handler = std::make_shared<Exchange>(State, Caller, Request);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -23,6 +23,10 @@
 http::Task<bool> serveRequest(GatewayState &State, Tcp::socket &Caller,
                               ReceivedRequest &Request);
 
+/// Answers the requests whose answer has not started, because the process is
+/// about to end: 503 if no endpoint received the request, 502 otherwise.
+void endUnansweredRequests(GatewayState &State);
+
 /// Sends an error answer that the gateway itself produces. Returns false if the
 /// caller disconnected.
 http::Task<bool> sendErrorAnswer(GatewayState &State, Tcp::socket &Caller,
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -252,6 +252,10 @@
     RetryAfter = Duration(200);
     Reason = "refused by the endpoint";
   }
+  if (CancelReason_ == CancelReason::ShuttingDown) {
+    RetryAfter = Duration(0); // another node can serve it at once
+    Reason = balancing::nameOf(balancing::DispatchFailure::ShuttingDown);
+  }
   if (CancelReason_ == CancelReason::DeadlinePassed)
     RetryAfter.reset();
   co_await answerWithError(503, RetryAfter, std::move(Reason));
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -15,6 +15,10 @@
 constexpr int MaxStaleAnswers = 3;
 /// Bytes of these answers that are skipped; beyond it a new attempt is cheaper.
 constexpr std::size_t MaxStaleAnswerBytes = 256 * 1024;
+/// Delays before memory that was in use is asked for again. Engines free memory
+/// when a request ends, some times a second.
+constexpr Duration MinReservationRetryDelay{60};
+constexpr Duration MaxReservationRetryDelay{480};
 /// Priorities at the engine; 0 is served first.
 constexpr int UrgentPriority = 3;
 constexpr int NonUrgentPriority = 8;
@@ -57,6 +61,16 @@
   co_return Reserved;
 }
 
+Duration Exchange::reservationRetryDelay() {
+  const Duration Longest = std::min(
+      MaxReservationRetryDelay,
+      MinReservationRetryDelay * (1 << std::min(8, FailedReservations_)));
+  ++FailedReservations_;
+  std::uniform_int_distribution<Duration::rep> Spread(Longest.count() / 2,
+                                                      Longest.count());
+  return Duration(Spread(State_.Random));
+}
+
 void Exchange::releaseReservations() {
   if (!Reservations_)
     return;
@@ -243,6 +257,7 @@
   const bool Reserved = co_await reserve(Chosen);
   if (!Reserved) {
     finishWork();
+    co_await http::sleepFor(reservationRetryDelay());
     co_return AttemptResult::NotSent;
   }
   EndpointConnectionPtr Connection;
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -17,7 +17,12 @@
 using ResponseParser = bhttp::response_parser<bhttp::buffer_body>;
 
 /// Why the gateway gave up a request before its answer was complete.
-enum class CancelReason { None, CallerDisconnected, DeadlinePassed };
+enum class CancelReason {
+  None,
+  CallerDisconnected,
+  DeadlinePassed,
+  ShuttingDown
+};
 
 /// How one attempt ended.
 enum class AttemptResult {
@@ -57,6 +62,8 @@
         TimeoutTimer_(State.Context) {}
 
   http::Task<bool> run();
+  /// Gives the request up, unless its answer has started.
+  void endUnanswered();
 
 private:
   // Before the first attempt.
@@ -96,6 +103,9 @@
   PlacementDecision decideLocally(TimePoint Now,
                                   const PlacementContext &Context);
   http::Task<bool> reserve(const Dispatch &Chosen);
+  /// Delay before memory is reserved again after a helper had too little. Grows
+  /// with each failure; random, so that requests do not retry together.
+  Duration reservationRetryDelay();
   /// Releases reserved memory. Must be called at the end of every attempt, sent
   /// or not: reservations are renewed until they are released.
   void releaseReservations();
@@ -174,6 +184,7 @@
 
   std::shared_ptr<Reservations> Reservations_;
   std::vector<ReservationPlan> ReservationPlans_;
+  int FailedReservations_ = 0;
   int SentAttempts_ = 0;
   bool MayHaveRun_ = false;
   bool AnswerStarted_ = false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "cassiashed/base/event_log.h"
 #include "gateway/caller_server.h"
 #include "gateway/catalog_updater.h"
+#include "gateway/exchange.h"
 #include "gateway/row_follower.h"
 #include "gateway/row_messages.h"
 #include "gateway/shared_placement.h"
@@ -24,6 +25,9 @@
 constexpr Duration BalancerDelay{3000};
 /// Time left before SIGKILL to write the last log lines.
 constexpr Duration ShutdownMargin{400};
+/// Time left before SIGKILL when requests without an answer get one that says
+/// so. Answers that have started go on until `ShutdownMargin`.
+constexpr Duration FinalAnswerMargin{800};
 constexpr Duration JoinRetryDelay{1000};
 
 class Gateway {
@@ -50,7 +54,7 @@
     Context_.run();
     logEvent("stopped")
         .field("node", Self.Name)
-        .field("active_requests", State_.ActiveRequests);
+        .field("active_requests", State_.ActiveRequests.size());
     return 0;
   }
 
@@ -362,7 +366,7 @@
     State_.Stopping = true;
     State_.StoppingSince = State_.now();
     logEvent("stopping")
-        .field("active_requests", State_.ActiveRequests)
+        .field("active_requests", State_.ActiveRequests.size())
         .field("connections", Callers_->connectionCount());
   }
 
@@ -372,7 +376,9 @@
     if (Elapsed < BalancerDelay)
       return;
     Callers_->closeIdle();
-    const bool Idle = State_.ActiveRequests == 0;
+    if (Elapsed >= State_.Settings.Bounds.Grace - FinalAnswerMargin)
+      endUnansweredRequests(State_);
+    const bool Idle = State_.ActiveRequests.empty();
     if (Idle || Elapsed >= State_.Settings.Bounds.Grace - ShutdownMargin)
       Context_.stop();
   }
@@ -414,7 +420,7 @@
                      State_.Config ? static_cast<double>(State_.Config->Version)
                                    : 0);
     Metrics.setGauge("active_requests",
-                     static_cast<double>(State_.ActiveRequests));
+                     static_cast<double>(State_.ActiveRequests.size()));
     Metrics.setGauge("endpoints",
                      static_cast<double>(State_.Directory.all().size()));
     Metrics.setGauge("endpoint_connections",
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -13,10 +13,12 @@
 #include "gateway/rate_limited_log.h"
 #include <memory>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace cassiashed::gateway {
 
+class Exchange;
 class SharedPlacement;
 
 /// Content that was running on an endpoint when its connection broke. It counts
@@ -60,7 +62,7 @@
   RateLimitedLog Log;
   std::vector<InterruptedRun> InterruptedRuns;
   std::uint64_t NextWorkId = 0;
-  std::size_t ActiveRequests = 0;
+  std::set<Exchange *> ActiveRequests; ///< that are being served
   bool Stopping = false;
   TimePoint StoppingSince; ///< valid while Stopping
 
--- /dev/null
+++ b/tests/process/gateway_stop_test.py
@@ -0,0 +1,77 @@
+"""What a gateway that was told to stop does with the requests that it has."""
+
+import signal
+import threading
+import time
+import unittest
+
+from gateway_fixture import GatewayCase, make_config, route
+
+GRACE_S = 5
+LONG_MS = 20000
+
+
+class StopTest(GatewayCase):
+    def setUp(self):
+        super().setUp()
+        long_prompts = dict(targetLatencyMs=3000, targetGapMs=1000, timeoutMs=LONG_MS)
+        self.store.put("op", "config", make_config(4, [
+            route("/get/", "idempotent", "app", timeoutMs=LONG_MS),
+            route("/post/", "non_idempotent", "app", timeoutMs=LONG_MS),
+            route("/stream/", "streaming", "llm", resumable=True, **long_prompts),
+            route("/once/", "streaming", "llm", **long_prompts),
+        ]))
+        self.stopping = self.start_gateway("stopping", grace_s=GRACE_S)
+
+    def stop(self):
+        self.stopping.process.send_signal(signal.SIGTERM)
+
+    def begin(self, path, tokens="5000,300"):
+        """Starts a call; returns its thread and a list that gets status, Retry-After and duration."""
+        result = []
+
+        def run():
+            begin = time.monotonic()
+            status, fields, _ = self.call(path, "POST", b"prompt", gateway=self.stopping, deadline_ms=LONG_MS,
+                                          **{"Token-Counts": tokens})
+            result.extend([status, fields.get("Retry-After"), time.monotonic() - begin])
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        return thread, result
+
+    # Guards against requests that wait for memory and are closed without an answer when their process ends.
+    def test_a_request_that_waits_for_memory_is_refused_at_once(self):
+        for each in self.llm:
+            each.has_memory = False
+        calls = [self.begin("/stream/x", "300000,300") for _ in range(2)]
+        self.wait_for(lambda: any(each.orders for each in self.llm), "memory is asked for")
+        time.sleep(1)
+        # Guards against orders that are repeated without a pause.
+        self.assertLess(sum(len(each.orders) for each in self.llm), 100)
+        stopped = time.monotonic()
+        self.stop()
+        for thread, result in calls:
+            thread.join()
+            self.assertEqual(result[0], 503)
+            self.assertIsNotNone(result[1])
+        self.assertLess(time.monotonic() - stopped, 2)
+        self.assertEqual(self.requests(self.llm), [])
+
+    # Guards against connections that are closed without a word when the grace period ends.
+    def test_a_request_without_an_answer_is_told_so_at_the_end(self):
+        for each in self.app + self.llm:
+            each.script = ["late:9"]
+        calls = {path: self.begin(path) for path in ("/get/x", "/post/x", "/stream/x", "/once/x")}
+        self.wait_for(lambda: len(self.requests(self.app + self.llm)) == 4, "all are passed on")
+        self.stop()
+        for path, (thread, result) in calls.items():
+            thread.join()
+            # They were passed on, so that nobody can say that they did not run.
+            self.assertEqual(result[0], 502, path)
+        self.assertEqual(len(self.requests(self.app + self.llm)), 4)
+        self.assertEqual(self.stopping.process.wait(GRACE_S), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -41,6 +41,7 @@
         # ("held", "used"), and whether reports are answered at all.
         self.orders, self.reservation_state, self.reports = [], "used", True
         self.order_pause = 0  # seconds before an order is answered
+        self.has_memory = True  # whether memory can be reserved
         self.event_pause = 0.02
         self.sent_without_end = 0  # bytes, by the behaviours that never end
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
@@ -90,6 +91,9 @@
         if target == "/order":
             self.orders.append(json.loads(body))
             time.sleep(self.order_pause)
+            if not self.has_memory and self.orders[-1]["operation"] == "reserve":
+                connection.sendall(b"HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}")
+                return
         elif not self.reports:
             return
         held = {order["id"] for order in self.orders if order["operation"] == "reserve"}
