Accept late requests in a shutdown only if they surely end

Callers saw requests that were taken 3.6 s after a SIGTERM, passed on, and cut when the process ended. Another operator reported the same for requests that may not be repeated.

Cause: the shutdown compared its grace period with twice the time that an idle engine takes. Engines may be busier, and a gateway knows only a part of their load.

Change: in the first 2.75 s, while the load balancer still selects the node, the first token that placement predicts under load decides. Later a request is accepted only if its deadline passes before the kill. Everything else is refused at once.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -128,21 +128,28 @@
                TokensPerValue;
 }
 
-bool Exchange::isTooLateToStart() const {
-  if (!State_.Stopping)
+bool Exchange::isTooLateToStart(double FirstTokenMs) const {
+  // Nobody else can finish an answer that has started.
+  if (!State_.Stopping || AnswerStarted_)
     return false;
-  Duration Expected = remainingTime();
+  balancing::RequestAtShutdown Request;
+  Request.Remaining = remainingTime();
+  Request.Expected = Request.Remaining;
   if (Service_->Engine)
-    Expected =
-        std::min(Expected, balancing::expectedDuration(
-                               *Service_->Engine, RequestHead_.PromptTokens,
-                               RequestHead_.MaxOutputTokens));
-  const auto SinceStop =
+    Request.Expected = balancing::expectedDuration(
+        *Service_->Engine, FirstTokenMs, RequestHead_.MaxOutputTokens);
+  Request.SinceShutdown =
       std::chrono::duration_cast<Duration>(State_.now() - State_.StoppingSince);
-  return !balancing::canFinishBeforeShutdown(Expected, SinceStop,
+  return !balancing::canFinishBeforeShutdown(Request,
                                              State_.Settings.Bounds.Grace);
 }
 
+double Exchange::idleFirstTokenMs() const {
+  return Service_->Engine ? engine::prefillMs(*Service_->Engine, 0,
+                                              RequestHead_.PromptTokens)
+                          : 0;
+}
+
 void Exchange::armTimeoutTimer() {
   const TimePoint At = std::min(Deadline_, EndpointDeadline_);
   if (At >= TimerExpiry_)
@@ -285,7 +292,7 @@
   DispatchRequest_.Work.Id = State_.NextWorkId++;
   Dispatch Chosen;
   while (true) {
-    if (isTooLateToStart()) {
+    if (isTooLateToStart(idleFirstTokenMs())) {
       Chosen = Dispatch{};
       Chosen.Failure = balancing::DispatchFailure::ShuttingDown;
       break;
@@ -326,6 +333,11 @@
     }
     co_await http::sleepFor(RetryDelay);
   }
+  if (!Chosen.Endpoints.empty() && isTooLateToStart(Chosen.FirstTokenMs)) {
+    finishWork();
+    Chosen = Dispatch{};
+    Chosen.Failure = balancing::DispatchFailure::ShuttingDown;
+  }
   co_return Chosen;
 }
 
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -70,13 +70,9 @@
 }
 
 Duration Exchange::streamIdleTimeout() const {
-  const double PrefillMs =
-      Service_->Engine
-          ? engine::prefillMs(*Service_->Engine, 0, RequestHead_.PromptTokens)
-          : 0;
   return balancing::streamIdleTimeout(
       Route_->TokenGapTarget,
-      Duration(static_cast<Duration::rep>(std::min(1e6, PrefillMs))));
+      Duration(static_cast<Duration::rep>(std::min(1e6, idleFirstTokenMs()))));
 }
 
 http::Task<AttemptResult> Exchange::relayStream(EndpointConnection &Connection,
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -272,7 +272,9 @@
   if (!Connection)
     exclude(*Endpoint);
   const bool AllUsable = excludeUnusable(Chosen);
-  if (!Connection || CancelReason_ != CancelReason::None || !AllUsable) {
+  // The shutdown may have begun, or gone on, while memory was reserved.
+  if (!Connection || CancelReason_ != CancelReason::None || !AllUsable ||
+      isTooLateToStart(Chosen.FirstTokenMs)) {
     finishWork();
     releaseReservations();
     co_return AttemptResult::NotSent;
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -72,7 +72,10 @@
   int resolve(std::string &Reason);
   void preparePlacementRequest();
   /// Whether the process is expected to stop before the request can finish.
-  bool isTooLateToStart() const;
+  /// `FirstTokenMs`: predicted time to its first token.
+  bool isTooLateToStart(double FirstTokenMs) const;
+  /// Time to the first token at an idle engine.
+  double idleFirstTokenMs() const;
   /// Whether the request's key is still valid; always true where the
   /// deployment does not refuse keys that cannot be confirmed. Checked again
   /// before each send, since the request may have waited.
--- a/tests/process/gateway_stop_test.py
+++ b/tests/process/gateway_stop_test.py
@@ -63,15 +63,34 @@
         for each in self.app + self.llm:
             each.script = ["late:9"]
         calls = {path: self.begin(path) for path in ("/get/x", "/post/x", "/stream/x", "/once/x")}
-        self.wait_for(lambda: len(self.requests(self.app + self.llm)) == 4, "all are passed on")
+        targets = lambda: [request["target"] for request in self.requests(self.app + self.llm)]  # noqa: E731
+        self.wait_for(lambda: set(targets()) == set(calls), "all are passed on")
         self.stop()
         for path, (thread, result) in calls.items():
             thread.join()
             # They were passed on, so that nobody can say that they did not run.
             self.assertEqual(result[0], 502, path)
-        self.assertEqual(len(self.requests(self.app + self.llm)), 4)
+        self.assertEqual([targets().count(path) for path in ("/post/x", "/once/x")], [1, 1])
         self.assertEqual(self.stopping.process.wait(GRACE_S), 0)
 
+    # Guards against requests that are taken late, by the time that idle engines need, and cut at the end.
+    def test_late_requests_are_refused_at_once_unless_they_surely_end(self):
+        for each in self.llm:
+            each.script = ["late:3"]
+        early = self.begin("/once/x")
+        self.wait_for(lambda: self.requests(self.llm), "a stream keeps the process running")
+        self.stop()
+        time.sleep(3.1)
+        late = [self.begin(path) for path in ("/stream/x", "/once/x", "/get/x", "/post/x")]
+        for thread, result in late:
+            thread.join()
+            self.assertEqual(result[0], 503)
+            self.assertLess(result[2], 0.5)
+        self.assertEqual(self.call("/post/x", "POST", b"drop", gateway=self.stopping, deadline_ms=600)[0], 200)
+        early[0].join()
+        self.assertEqual(early[1][0], 200)
+        self.assertEqual(len(self.requests(self.llm)), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
