Break off streams that end inside an event

Callers saw streams that their replica had broken off framed as complete, with a body that ended inside an event.

Cause: an answer may come with neither a length nor chunks and end with its connection. The gateway took the end of the connection for the end of the stream, passed on the incomplete event and added the last chunk. It did not look at the events of streams that cannot be resumed, or that state a length.

Change: all streams pass event by event, without a length. A stream is whole only if it ends between events; one without framing also needs an event. Answers that are framed by the caller's connection reset it unless they are whole, even if the process is killed.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -107,7 +107,11 @@
         Buffer_.shrink_to_fit();
     }
     Code Ignored;
-    Socket_.shutdown(Tcp::socket::shutdown_both, Ignored);
+    asio::socket_base::linger ResetOnClose;
+    Socket_.get_option(ResetOnClose, Ignored);
+    // An orderly end would make an answer without framing look complete.
+    if (!ResetOnClose.enabled())
+      Socket_.shutdown(Tcp::socket::shutdown_both, Ignored);
     Socket_.close(Ignored);
   }
 
--- a/src/gateway/event_assembler.h
+++ b/src/gateway/event_assembler.h
@@ -25,6 +25,11 @@
   bool isOversized() const { return Pending_.size() > MaxEventBytes; }
   /// Bytes after the last complete event.
   const std::string &incompleteEvent() const { return Pending_; }
+  /// Whether the bytes end inside an event, rather than after one. A stream
+  /// that ends there has been broken off.
+  bool isInsideEvent() const {
+    return Pending_.find_first_not_of("\r\n") != std::string::npos;
+  }
   /// Call when the stream ended or broke.
   void discardIncompleteEvent() {
     Pending_.clear();
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -343,7 +343,7 @@
 
 bool Exchange::isAnswerResumable() const {
   // Resumes after the last event that the caller received.
-  return Route_->Resumable && AnswerHead_.Body != Framing::Length;
+  return Route_->Resumable && RelaysEvents_;
 }
 
 bool Exchange::allowsAnotherAttempt() const {
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -35,6 +35,49 @@
   return Result;
 }
 
+AnswerHead Exchange::makeStreamHead(const ResponseParser &Parser) const {
+  AnswerHead Result = makeAnswerHead(Parser);
+  Result.Body = Request_.IsHttp10 ? Framing::Close : Framing::Chunked;
+  if (Request_.IsHttp10)
+    Result.KeepAlive = false;
+  return Result;
+}
+
+bool Exchange::carriesEvents(const ResponseParser &Parser) const {
+  static constexpr std::string_view EventStream = "text/event-stream";
+  if (!makeAnswerHead(Parser).HasBody)
+    return false;
+  const auto Type = Parser.get()[bhttp::field::content_type];
+  return Type.empty() ||
+         equalsIgnoringCase(std::string_view(Type.data(), Type.size())
+                                .substr(0, EventStream.size()),
+                            EventStream);
+}
+
+bool Exchange::isWholeStream(const ResponseParser &Parser,
+                             bool HasEvents) const {
+  if (Events_.isInsideEvent())
+    return false;
+  // Without a length or chunks, an empty stream cannot be told from one that
+  // was broken off before its first event. It is whole if the caller already
+  // has the events before it.
+  const bool HasFraming = Parser.chunked() || Parser.content_length();
+  return HasFraming || HasEvents || !RequestHead_.LastEventId.empty();
+}
+
+void Exchange::beginAnswer(Framing Body) {
+  AnswerStarted_ = true;
+  Code Ignored;
+  if (Body == Framing::Close)
+    Caller_.set_option(asio::socket_base::linger(true, 0), Ignored);
+}
+
+void Exchange::endAnswer() {
+  AnswerComplete_ = true;
+  Code Ignored;
+  Caller_.set_option(asio::socket_base::linger(false, 0), Ignored);
+}
+
 http::Task<bool> Exchange::readPiece(EndpointConnection &Connection,
                                      ResponseParser &Parser,
                                      std::string &Piece) {
@@ -78,29 +121,25 @@
 http::Task<AttemptResult> Exchange::relayStream(EndpointConnection &Connection,
                                                 ResponseParser &Parser) {
   const Duration IdleTimeout = streamIdleTimeout();
-  // A stream that states its length, or that cannot be resumed, is passed on
-  // as it comes.
-  const bool SendsWholeEvents =
-      Route_->Resumable && AnswerHead_.Body != Framing::Length;
   std::string Piece;
   setEndpointDeadline(State_.now() + IdleTimeout);
   while (true) {
     const bool Read = co_await readPiece(Connection, Parser, Piece);
-    const bool Complete = Read && Parser.is_done();
-    std::string Output = SendsWholeEvents ? Events_.append(Piece) : Piece;
+    std::string Output = Events_.append(Piece);
+    const bool Complete =
+        Read && Parser.is_done() &&
+        isWholeStream(Parser, AnswerStarted_ || !Output.empty());
     if (Events_.isOversized())
       FailureCause_ = "an event is too large";
-    if (!Read || Events_.isOversized()) {
-      Events_.discardIncompleteEvent();
-      co_return AnswerStarted_ ? AttemptResult::Broken : AttemptResult::Failed;
-    }
-    if (Complete && SendsWholeEvents) {
+    else if (Read && Parser.is_done() && !Complete)
+      FailureCause_ = "the stream was broken off";
+    if (Complete)
       Output += Events_.incompleteEvent();
-      Events_.discardIncompleteEvent();
-    }
     std::string Bytes;
-    if (!AnswerStarted_ && (!Output.empty() || Complete))
+    if (!AnswerStarted_ && (!Output.empty() || Complete)) {
       Bytes = formatAnswerHead(AnswerHead_);
+      beginAnswer(AnswerHead_.Body);
+    }
     if (!Output.empty())
       Bytes +=
           AnswerHead_.Body == Framing::Chunked ? formatChunk(Output) : Output;
@@ -108,7 +147,6 @@
       Bytes += LastChunk;
     if (!Bytes.empty()) {
       recordTokenGap();
-      AnswerStarted_ = true;
       setEndpointDeadline(TimePoint::max());
       const bool Written = co_await writeToCaller(std::move(Bytes));
       if (!Written)
@@ -117,9 +155,13 @@
       setEndpointDeadline(State_.now() + IdleTimeout);
     }
     if (Complete) {
-      AnswerComplete_ = true;
+      endAnswer();
       co_return AttemptResult::Answered;
     }
+    if (!Read || Parser.is_done() || Events_.isOversized()) {
+      Events_.discardIncompleteEvent();
+      co_return AnswerStarted_ ? AttemptResult::Broken : AttemptResult::Failed;
+    }
   }
 }
 
@@ -154,7 +196,7 @@
                             : AttemptResult::Answered;
   }
   // Too large to buffer: passed on as it comes.
-  AnswerStarted_ = true;
+  beginAnswer(Answer.Head.Body);
   setEndpointDeadline(TimePoint::max());
   std::string Bytes = formatAnswerHead(Answer.Head);
   Bytes += Answer.Head.Body == Framing::Chunked ? formatChunk(Answer.Body)
@@ -181,7 +223,7 @@
     if (Parser.is_done() && Answer.Head.Body == Framing::Chunked)
       Bytes += LastChunk;
   }
-  AnswerComplete_ = true;
+  endAnswer();
   Request_.KeepAlive = Answer.Head.KeepAlive;
   co_return AttemptResult::Answered;
 }
@@ -221,9 +263,10 @@
     std::string Bytes = formatAnswerHead(BufferedAnswer_->Head);
     if (BufferedAnswer_->Head.HasBody)
       Bytes += BufferedAnswer_->Body;
-    AnswerStarted_ = true;
+    beginAnswer(BufferedAnswer_->Head.Body);
     const bool Written = co_await writeToCaller(std::move(Bytes));
-    AnswerComplete_ = Written;
+    if (Written)
+      endAnswer();
     if (BufferedAnswer_->Head.Body == Framing::Close)
       Request_.KeepAlive = false;
     Outcome_ = Last == AttemptResult::Answered ? "answered" : "endpoint_failed";
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -399,9 +399,10 @@
     co_return AttemptResult::Failed;
   }
   AttemptResult Result;
-  if (IsStream && Success) {
+  if (IsStream && Success && carriesEvents(*Parser)) {
     if (!AnswerStarted_)
-      AnswerHead_ = makeAnswerHead(*Parser);
+      AnswerHead_ = makeStreamHead(*Parser);
+    RelaysEvents_ = true;
     recordFirstByte(Chosen);
     Result = co_await relayStream(*Connection, *Parser);
   } else {
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -148,6 +148,19 @@
   /// Records the time since the last piece of a stream.
   void recordTokenGap();
   AnswerHead makeAnswerHead(const ResponseParser &Parser) const;
+  /// Head of a stream. Its length is not stated, since it may be resumed.
+  AnswerHead makeStreamHead(const ResponseParser &Parser) const;
+  /// Whether the answer is a stream of events.
+  bool carriesEvents(const ResponseParser &Parser) const;
+  /// Whether the stream that `Parser` has read to its end is whole.
+  /// `HasEvents`: the caller got or gets some.
+  bool isWholeStream(const ResponseParser &Parser, bool HasEvents) const;
+  /// Call before the first bytes of an answer go to the caller. Until
+  /// `endAnswer`, the end of an answer that is framed by its connection shows
+  /// as a reset, even if this process is killed.
+  void beginAnswer(Framing Body);
+  /// Call when the whole answer was written.
+  void endAnswer();
 
   http::Task<void> answerWithError(int Status,
                                    std::optional<Duration> RetryAfter,
@@ -203,7 +216,8 @@
   TimePoint LastPieceSentAt_; ///< of the stream; unset before the first piece
   Duration LongestTokenGap_{0};
   EventAssembler Events_;
-  AnswerHead AnswerHead_; ///< of the stream that the caller gets
+  AnswerHead AnswerHead_;     ///< of the stream that the caller gets
+  bool RelaysEvents_ = false; ///< the answer is relayed event by event
   std::optional<BufferedAnswer> BufferedAnswer_;
   std::string Outcome_;
 };
--- /dev/null
+++ b/tests/process/gateway_framing_test.py
@@ -0,0 +1,98 @@
+"""How answers without a length or chunks, and broken answers, reach the caller."""
+
+import signal
+import socket
+import unittest
+
+from gateway_fixture import EVENTS, KEY, GatewayCase, make_config, route
+
+
+class FramingTest(GatewayCase):
+    BROKEN = ("unframed_cut", "unframed_reset", "unframed_none", "sized_cut")
+
+    def setUp(self):
+        super().setUp()
+        self.store.put("op", "config", make_config(4, [
+            route("/get/", "idempotent", "app"),
+            route("/stream/", "streaming", "llm", resumable=True, targetGapMs=250, timeoutMs=12000),
+            route("/once/", "streaming", "llm", targetGapMs=250, timeoutMs=12000),
+        ]))
+        self.wait_for(lambda: b"event=config_in_force version=4" in self.gateway.log_path.read_bytes(), "version 4")
+
+    def ask(self, path):
+        return self.call(path, "POST", b"prompt", **{"Token-Counts": "5000,300"})
+
+    def old_caller(self, path):
+        """Bytes that a caller without chunks gets, and whether its connection is reset."""
+        with socket.create_connection((self.gateway.host, self.gateway.port), timeout=5) as peer:
+            peer.sendall(f"POST {path} HTTP/1.0\r\nHost: h.example\r\nAttempt-Id: old\r\nContent-Length: 0\r\n"
+                         f"Token-Counts: 5000,300\r\nAuthorization: Bearer {KEY}\r\n\r\n".encode())
+            answer = b""
+            try:
+                while piece := peer.recv(65536):
+                    answer += piece
+            except ConnectionResetError:
+                return answer, True
+            return answer, False
+
+    def test_a_stream_that_ends_with_its_connection_is_whole(self):
+        for each in self.llm:
+            each.script = ["unframed_events"]
+        for path in ("/stream/x", "/once/x"):
+            status, fields, body = self.ask(path)
+            self.assertEqual((status, body), (200, EVENTS), path)
+            self.assertEqual(fields["Transfer-Encoding"], "chunked")
+
+    def check_looks_incomplete(self, behaviour):
+        for path in ("/stream/x", "/once/x"):
+            self.share_script(self.llm, [behaviour])
+            self.assertIn(self.ask(path)[0], (0, 502), path)
+
+    # Guards against streams that are broken off inside an event and framed as complete.
+    def test_a_stream_that_ends_inside_an_event_looks_incomplete(self):
+        self.check_looks_incomplete("unframed_cut")
+
+    def test_a_stream_with_a_length_that_ends_inside_an_event_looks_incomplete(self):
+        self.check_looks_incomplete("sized_cut")
+
+    def test_a_stream_that_is_reset_looks_incomplete(self):
+        self.check_looks_incomplete("unframed_reset")
+
+    def test_a_stream_that_ends_before_its_first_event_looks_incomplete(self):
+        self.check_looks_incomplete("unframed_none")
+
+    def test_a_stream_that_ends_inside_an_event_is_resumed_elsewhere(self):
+        for behaviour in self.BROKEN:
+            self.share_script(self.llm, [behaviour, "unframed_events"])
+            self.assertEqual(self.ask("/stream/x")[::2], (200, EVENTS), behaviour)
+
+    # Guards against an answer that a caller cannot tell from a whole one, since it ends with its connection.
+    def test_a_broken_stream_of_a_caller_without_chunks_is_reset(self):
+        for each in self.llm:
+            each.script = ["unframed_events"]
+        answer, was_reset = self.old_caller("/once/x")
+        self.assertTrue(answer.endswith(EVENTS))
+        self.assertFalse(was_reset)
+        for behaviour in ("cut", "unframed_cut", "sized_cut"):
+            self.share_script(self.llm, [behaviour])
+            answer, was_reset = self.old_caller("/once/x")
+            self.assertNotIn(b"Content-Length", answer, behaviour)
+            self.assertTrue(was_reset, behaviour)
+
+    # Guards against a process whose end makes answers look complete.
+    def test_the_end_of_the_process_resets_a_caller_without_chunks(self):
+        for each in self.llm:
+            each.script = ["pause:9"]
+        with socket.create_connection((self.gateway.host, self.gateway.port), timeout=5) as peer:
+            peer.sendall(f"POST /once/x HTTP/1.0\r\nHost: h.example\r\nAttempt-Id: old\r\nContent-Length: 0\r\n"
+                         f"Token-Counts: 5000,300\r\nAuthorization: Bearer {KEY}\r\n\r\n".encode())
+            while b"token 2" not in peer.recv(65536):
+                pass
+            self.gateway.process.send_signal(signal.SIGKILL)
+            with self.assertRaises(ConnectionResetError):
+                while peer.recv(65536):
+                    pass
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -29,7 +29,10 @@
     "unsigned", "foreign" (an answer to another request first), "mute",
     "error" (its own 500), "unframed" (ends with its connection), "late:S" (events
     after S seconds), "pause:S" (S seconds between two events), "slow:S" (a body
-    that takes S seconds). Bytes without
+    that takes S seconds), "unframed_events" (events that end with the
+    connection), "unframed_cut" (the same, in the middle of an event),
+    "unframed_reset" (the same, by a reset), "unframed_none" (no event),
+    "sized_cut" (a length that ends in the middle of an event). Bytes without
     end until the caller closes: "endless_head", "endless_event" (after two whole
     events), "dripped_event" (the same, byte by byte), "endless_foreign" (an
     answer to another request), "endless_body"."""
@@ -146,6 +149,8 @@
             for piece in (answer[:-4], answer[-4:-3], answer[-3:-2], answer[-2:-1], answer[-1:]):
                 connection.sendall(piece)
                 time.sleep(float(behaviour[5:]) / 4)
+        elif behaviour.startswith(("unframed_", "sized_")):
+            return self._stream_without_chunks(connection, fields, behaviour)
         elif behaviour in ("events", "cut"):
             return self._stream(connection, fields, behaviour == "cut")
         return True
@@ -171,6 +176,22 @@
             if behaviour == "dripped_event":
                 time.sleep(0.05)
 
+    def _stream_without_chunks(self, connection, fields, behaviour):
+        first = int(fields.get("last-event-id", 0)) + 1
+        events = "".join(f"id: {number}\ndata: token {number}\n\n" for number in range(first, 7)).encode()
+        if behaviour.endswith("_none"):
+            events = b""
+        elif not behaviour.endswith("_events"):
+            events = events[:40]
+        head = [f"Response-Signature: {self.identity}", "Content-Type: text/event-stream"]
+        if behaviour.startswith("sized_"):
+            head.append(f"Content-Length: {len(events)}")
+        connection.sendall(self._head("200 OK", fields, head) + events)
+        if behaviour.endswith("_reset"):
+            time.sleep(0.1)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        return False
+
     def _stream(self, connection, fields, cut=False, pause=0):
         """Six events; the ids go on after Last-Event-Id. `pause`: seconds before the third."""
         connection.sendall(self._head("200 OK", fields, [f"Response-Signature: {self.identity}",
