Reject odd entries among those of the replicas

Another operator reported machines that ended again and again, or stopped following the list, because of one odd entry of another writer.

Cause here: a number too large for any type makes the parser throw an exception that was not caught, and the process ends, at each start again.

--- a/include/cassiashed/base/clock.h
+++ b/include/cassiashed/base/clock.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 
 /// Monotonic time, injected so that tests decide when it passes.
@@ -8,6 +9,19 @@
 using TimePoint = std::chrono::steady_clock::time_point;
 using Duration = std::chrono::milliseconds;
 
+/// Largest time that `durationFromMs` returns, about 30 years. Such times can
+/// be added to a TimePoint without overflow.
+inline constexpr double MaxDurationMs = 1e12;
+
+/// Converts a number that a peer sent. Numbers out of range are replaced by the
+/// nearest limit, and what is no number by 0.
+inline Duration durationFromMs(double Ms) {
+  if (!(Ms == Ms))
+    return Duration(0);
+  return Duration(static_cast<Duration::rep>(
+      std::clamp(Ms, -MaxDurationMs, MaxDurationMs)));
+}
+
 /// Source of monotonic time.
 class Clock {
 public:
--- a/include/cassiashed/text/json.h
+++ b/include/cassiashed/text/json.h
@@ -12,11 +12,16 @@
 
 using Json = nlohmann::json;
 
-/// Parses one JSON object; on failure `Reason` names the place of the error.
+/// Parses one JSON object; on failure, which includes a number out of range,
+/// `Reason` names the place or the kind of the error.
 std::optional<Json> parseJsonObject(std::string_view Text, std::string &Reason);
 
 std::string readString(const Json &Object, const char *Name,
                        std::string Default = {});
+/// The value if it is a whole number that fits into the type.
+std::optional<std::int64_t> integerOf(const Json &Value);
+/// These return the default also for a number that does not fit into the type.
+int readInt(const Json &Object, const char *Name, int Default = 0);
 std::int64_t readInteger(const Json &Object, const char *Name,
                          std::int64_t Default = 0);
 double readNumber(const Json &Object, const char *Name, double Default = 0);
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -419,12 +419,9 @@
     State_.Crashes.recordCompletion(ContentHash_);
     if (Sending->Done && !Sending->Failure && Parser->is_done() &&
         Parser->keep_alive() && CancelReason_ == CancelReason::None) {
-      const std::string KeepAlive(Parser->get()[bhttp::field::keep_alive]);
-      const std::size_t At = KeepAlive.find("timeout=");
-      Connection->KeepAliveTimeout = Duration(
-          At == std::string::npos
-              ? std::chrono::seconds(0)
-              : std::chrono::seconds(std::atoi(KeepAlive.c_str() + At + 8)));
+      const auto KeepAlive = Parser->get()[bhttp::field::keep_alive];
+      Connection->KeepAliveTimeout =
+          keepAliveTimeout({KeepAlive.data(), KeepAlive.size()});
       State_.Pool.release(std::move(Connection), State_.now());
     }
   } else if (Result == AttemptResult::Failed ||
--- a/src/gateway/http_wire.cpp
+++ b/src/gateway/http_wire.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace cassiashed::gateway {
@@ -36,6 +37,17 @@
                      });
 }
 
+Duration keepAliveTimeout(std::string_view Field) {
+  static constexpr std::string_view Name = "timeout=";
+  const std::size_t At = Field.find(Name);
+  if (At == std::string_view::npos)
+    return Duration(0);
+  const std::string_view Number = Field.substr(At + Name.size());
+  std::uint32_t Seconds = 0; // also if the number is out of range
+  std::from_chars(Number.data(), Number.data() + Number.size(), Seconds);
+  return std::chrono::seconds(Seconds);
+}
+
 std::string formatRequestHead(std::string_view Method, std::string_view Target,
                               const http::Headers &Fields,
                               std::size_t BodyBytes, bool HasBody) {
--- a/src/gateway/http_wire.h
+++ b/src/gateway/http_wire.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cassiashed/base/clock.h"
 #include "http/asio.h"
 #include "http/dead_peer.h"
 #include "http/message.h"
@@ -28,6 +29,9 @@
 /// hop-by-hop fields, those that `Connection` names, and the body's framing.
 template <typename Fields> http::Headers endToEndFields(const Fields &Head);
 
+/// Value of `timeout` in a `Keep-Alive` field; 0 if it states none.
+Duration keepAliveTimeout(std::string_view Field);
+
 /// Whether `Name` is a hop-by-hop field or describes the framing of the body.
 bool isConnectionField(std::string_view Name);
 
--- a/src/text/json.cpp
+++ b/src/text/json.cpp
@@ -1,5 +1,7 @@
 #include "cassiashed/text/json.h"
 
+#include <limits>
+
 namespace cassiashed {
 namespace {
 
@@ -21,6 +23,8 @@
     Reason = "expected a JSON object";
   } catch (const Json::parse_error &Failure) {
     Reason = "invalid JSON at byte " + std::to_string(Failure.byte);
+  } catch (const Json::exception &Failure) {
+    Reason = Failure.what(); // a number too large for its type
   }
   return std::nullopt;
 }
@@ -32,11 +36,28 @@
                                      : std::move(Default);
 }
 
+std::optional<std::int64_t> integerOf(const Json &Value) {
+  if (!Value.is_number_integer())
+    return std::nullopt;
+  // Numbers above the signed range are kept as unsigned ones.
+  if (Value.is_number_unsigned() &&
+      Value.get<std::uint64_t>() >
+          static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()))
+    return std::nullopt;
+  return Value.get<std::int64_t>();
+}
+
 std::int64_t readInteger(const Json &Object, const char *Name,
                          std::int64_t Default) {
   const Json *Field = findField(Object, Name);
-  return Field && Field->is_number_integer() ? Field->get<std::int64_t>()
-                                             : Default;
+  return Field ? integerOf(*Field).value_or(Default) : Default;
+}
+
+int readInt(const Json &Object, const char *Name, int Default) {
+  const std::int64_t Value = readInteger(Object, Name, Default);
+  const bool Fits = Value >= std::numeric_limits<int>::min() &&
+                    Value <= std::numeric_limits<int>::max();
+  return Fits ? static_cast<int>(Value) : Default;
 }
 
 double readNumber(const Json &Object, const char *Name, double Default) {
