Leave replicas alone that say so in their answers

A replica that leaves says so in its answers (Server-Leaving), and one that turns a request away with 503 may state for how long it wants nothing from this machine (Retry-After). Both were ignored.

Change: the directory records both for the incarnation of the endpoint. The dispatcher does not choose it for this node, placers of other nodes are told to leave it out, and it is looked up again right before the send.

--- a/include/cassiashed/catalog/endpoint_directory.h
+++ b/include/cassiashed/catalog/endpoint_directory.h
@@ -18,6 +18,8 @@
   std::uint32_t Number = 0; ///< unique within this process
   TimePoint ColdUntil;      ///< end of the limit on requests to cold endpoints
   bool IsRegistered = true; ///< false once it was removed or replaced
+  bool IsLeaving = false;   ///< it said so in an answer
+  TimePoint PausedUntil;    ///< it asked this node for no requests until then
 };
 using EndpointRef = std::shared_ptr<KnownEndpoint>;
 
@@ -39,6 +41,11 @@
   Change put(const Endpoint &Registered, TimePoint Now);
   /// Returns false if the endpoint is unknown.
   bool remove(const std::string &Id);
+  /// Records that the endpoint said that it leaves. Only a new incarnation
+  /// receives requests again.
+  void markLeaving(const EndpointRef &Target) { Target->IsLeaving = true; }
+  /// Records that the endpoint accepts no request of this node for `Pause`.
+  void pause(const EndpointRef &Target, Duration Pause, TimePoint Now);
   /// Extends the warm-up of an endpoint whose response states that it stays
   /// cold for `Remaining`.
   void markCold(const EndpointRef &Target, Duration Remaining, TimePoint Now);
@@ -48,7 +55,8 @@
 
   /// Endpoints of a service that may receive new requests.
   std::vector<EndpointRef> findUsable(const std::string &Service) const;
-  /// Whether the endpoint is registered and ready, and its zone in service.
+  /// Whether the endpoint is registered, ready and not leaving, and its zone in
+  /// service.
   bool isUsable(const KnownEndpoint &Target) const;
   EndpointRef find(const std::string &Id) const;
   const std::map<std::string, EndpointRef> &all() const { return Endpoints_; }
--- a/src/balancing/dispatcher.cpp
+++ b/src/balancing/dispatcher.cpp
@@ -58,6 +58,10 @@
                     Region->second) == Request.Regions.end())
         continue;
     }
+    if (Request.SentBy == Sender::ThisNode && Endpoint->PausedUntil > Now) {
+      Failure = DispatchFailure::AllBusy;
+      continue;
+    }
     if (Endpoint->ColdUntil > Now &&
         !canUseColdEndpoint(Request, *Endpoint, Now)) {
       Failure = DispatchFailure::AllCold;
--- a/src/balancing/dispatcher_test.cpp
+++ b/src/balancing/dispatcher_test.cpp
@@ -211,3 +211,22 @@
     Fleet.Now += std::chrono::milliseconds(10);
   }
 }
+
+// Guards against requests to endpoints that told this node that they leave, or
+// that they accept no request of this node for a while.
+TEST_CASE("what an endpoint said of itself holds for this node") {
+  Fixture Fleet;
+  Fleet.put("leaving", "a");
+  Fleet.put("paused", "a");
+  Fleet.Directory.markLeaving(Fleet.Directory.find("leaving"));
+  Fleet.Directory.pause(Fleet.Directory.find("paused"), Duration(500),
+                        Fleet.Now);
+  CHECK(Fleet.choose().Endpoints.empty());
+  DispatchRequest ForAnother;
+  ForAnother.SentBy = Sender::OtherNode;
+  const Dispatch Chosen = Fleet.choose(ForAnother);
+  REQUIRE(Chosen.Endpoints.size() == 1);
+  CHECK(Chosen.Endpoints.front()->Entry.Id == "paused");
+  Fleet.Now += Duration(600);
+  CHECK(Fleet.choose().Endpoints.size() == 1);
+}
--- a/src/catalog/endpoint_directory.cpp
+++ b/src/catalog/endpoint_directory.cpp
@@ -48,6 +48,11 @@
   Target->ColdUntil = std::max(Target->ColdUntil, Now + Remaining);
 }
 
+void EndpointDirectory::pause(const EndpointRef &Target, Duration Pause,
+                              TimePoint Now) {
+  Target->PausedUntil = std::max(Target->PausedUntil, Now + Pause);
+}
+
 void EndpointDirectory::setZoneOut(const std::string &Zone, bool Out) {
   if (Out)
     ZonesOut_.insert(Zone);
@@ -60,7 +65,8 @@
 }
 
 bool EndpointDirectory::isUsable(const KnownEndpoint &Target) const {
-  return Target.IsRegistered && Target.Entry.State == EndpointState::Ready &&
+  return Target.IsRegistered && !Target.IsLeaving &&
+         Target.Entry.State == EndpointState::Ready &&
          !isZoneOut(Target.Entry.Zone);
 }
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -264,6 +264,16 @@
   return Decision;
 }
 
+std::vector<std::string> Exchange::endpointsNotToUse() const {
+  std::vector<std::string> Ids = ExcludedIds_;
+  const TimePoint Now = State_.now();
+  for (const auto &[Id, Known] : State_.Directory.all())
+    if (Known->Entry.Service == Service_->Name &&
+        (Known->IsLeaving || Known->PausedUntil > Now))
+      Ids.push_back(Id);
+  return Ids;
+}
+
 http::Task<PlacementDecision> Exchange::decidePlacement(TimePoint Now) {
   PlacementContext Context;
   Context.WaitedMs =
@@ -274,7 +284,7 @@
           .count();
   Context.IsRetry = SentAttempts_ > 0;
   if (State_.Placement->isUsedFor(*Service_)) {
-    Context.ExcludedIds = ExcludedIds_;
+    Context.ExcludedIds = endpointsNotToUse();
     std::optional<PlacementDecision> Shared =
         co_await State_.Placement->ask(DispatchRequest_, Context);
     if (Shared)
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -127,7 +127,8 @@
 bool Exchange::excludeUnusable(const Dispatch &Chosen) {
   bool AllUsable = true;
   for (const EndpointRef &Endpoint : Chosen.Endpoints) {
-    if (State_.Directory.isUsable(*Endpoint))
+    if (State_.Directory.isUsable(*Endpoint) &&
+        Endpoint->PausedUntil <= State_.now())
       continue;
     AllUsable = false;
     exclude(*Endpoint);
@@ -324,6 +325,22 @@
   return Timeout ? State_.now() + *Timeout : TimePoint::max();
 }
 
+void Exchange::recordEndpointState(const EndpointRef &Endpoint,
+                                   const EndpointHead &Answer) {
+  const TimePoint Now = State_.now();
+  if (Answer.ColdRemaining && Answer.ColdRemaining->count() > 0)
+    State_.Directory.markCold(Endpoint, *Answer.ColdRemaining, Now);
+  if (Answer.PausedFor && Answer.PausedFor->count() > 0)
+    State_.Directory.pause(Endpoint, *Answer.PausedFor, Now);
+  if (!Answer.IsLeaving || Endpoint->IsLeaving)
+    return;
+  State_.Directory.markLeaving(Endpoint);
+  State_.Pool.closeIdle(Endpoint->Number);
+  State_.Log.write("endpoint_leaving", Now, [&](LogLine &Line) {
+    Line.field("endpoint", Endpoint->Entry.Id);
+  });
+}
+
 http::Task<AttemptResult>
 Exchange::receive(const Dispatch &Chosen, EndpointConnectionPtr &Connection,
                   const std::shared_ptr<PendingWrite> &Sending) {
@@ -377,8 +394,7 @@
     co_return AttemptResult::Failed;
   }
   const int Status = static_cast<int>(Parser->get().result_int());
-  if (Answer.ColdRemaining && Answer.ColdRemaining->count() > 0)
-    State_.Directory.markCold(Endpoint, *Answer.ColdRemaining, State_.now());
+  recordEndpointState(Endpoint, Answer);
   if (Answer.NotRun || Answer.WrongEndpoint) {
     State_.recordOutcome(*Endpoint, Answer.WrongEndpoint
                                         ? EndpointOutcome::Unreachable
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -103,6 +103,9 @@
   /// refused in favour of other requests. Placers decide it where there are
   /// some.
   http::Task<PlacementDecision> decidePlacement(TimePoint Now);
+  /// Ids of the endpoints that a placer must not choose for this node: those
+  /// already tried, and those that told this node that they leave or pause.
+  std::vector<std::string> endpointsNotToUse() const;
   PlacementDecision decideLocally(TimePoint Now,
                                   const PlacementContext &Context);
   http::Task<bool> reserve(const Dispatch &Chosen);
@@ -141,6 +144,9 @@
   /// are still usable.
   bool excludeUnusable(const Dispatch &Chosen);
   void recordSent(const Dispatch &Chosen);
+  /// Records what the endpoint says of itself in an answer.
+  void recordEndpointState(const EndpointRef &Endpoint,
+                           const EndpointHead &Answer);
   void finishWork();
   void recordFirstByte(const Dispatch &Chosen);
   /// Records that the endpoint's connection failed or timed out.
--- a/src/gateway/platform_protocol.h
+++ b/src/gateway/platform_protocol.h
@@ -50,6 +50,9 @@
   bool HasSignature = false;  ///< the service itself produced the response
   std::string AttemptId;      ///< of the answered request; empty: unknown
   std::optional<Duration> ColdRemaining; ///< time until its warm-up ends
+  bool IsLeaving = false;                ///< the endpoint is about to leave
+  /// The endpoint accepts no request of this node for this long.
+  std::optional<Duration> PausedFor;
   std::string FaultyAddress; ///< of another endpoint that caused the failure
 };
 
