Read configurations of megabytes

Callers saw new routes refused with 404 and dropped ones that still ran, for good, once the configuration had grown above 3.1 MB.

Cause: the client of the store dropped answers above 4 MiB, took that for a failed connection, and repeated the call with the same result.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -160,20 +160,22 @@
   TimePoint EndsAt_;
 };
 
-/// Appends the body to `Reply`; resets it if the body cannot be read. A peer
-/// that sends byte by byte must not stretch the call, so `Body` limits the sum
-/// of the pauses.
-Task<void> readBody(ClientStream &Stream, Countdown Body, Duration PauseTimeout,
-                    std::size_t MaxBytes, std::optional<Response> &Reply) {
-  while (Reply) {
-    std::optional<std::string> Piece =
+/// Appends the body to `Reply`. Returns why it cannot be read. A peer that
+/// sends byte by byte must not stretch the call, so `Body` limits the sum of
+/// the pauses.
+Task<ClientFailure> readBody(ClientStream &Stream, Countdown Body,
+                             Duration PauseTimeout, std::size_t MaxBytes,
+                             Response &Reply) {
+  while (true) {
+    const std::optional<std::string> Piece =
         co_await Stream.readSome(std::min(Body.left(), PauseTimeout));
-    if (!Piece || Reply->Body.size() + Piece->size() > MaxBytes)
-      Reply.reset();
-    else if (Piece->empty())
-      break;
-    else
-      Reply->Body += *Piece;
+    if (!Piece)
+      co_return Stream.failure();
+    if (Piece->empty())
+      co_return ClientFailure::None;
+    if (Reply.Body.size() + Piece->size() > MaxBytes)
+      co_return ClientFailure::TooLarge;
+    Reply.Body += *Piece;
   }
 }
 
@@ -193,9 +195,14 @@
     Reply = co_await Stream->readHead(Head.left());
   const Countdown Body =
       Limits.BodyTimeout.count() > 0 ? Countdown(Limits.BodyTimeout) : Head;
-  co_await readBody(*Stream, Body, Limits.PauseTimeout, Limits.MaxBytes, Reply);
+  ClientFailure Reason = Stream->failure();
+  if (Reply)
+    Reason = co_await readBody(*Stream, Body, Limits.PauseTimeout,
+                               Limits.MaxBytes, *Reply);
+  if (Reason != ClientFailure::None)
+    Reply.reset();
   if (Failure)
-    *Failure = Stream->failure();
+    *Failure = Reason;
   co_return Reply;
 }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -17,6 +17,7 @@
   NotAnswered,  ///< the request was sent, at least in part
   Truncated,    ///< the reply ended before its end
   TimedOut,     ///< the peer made no progress in time
+  TooLarge,     ///< the reply exceeds the limit of the call
 };
 
 struct ClientOptions {
--- a/tests/process/gateway_rows_test.py
+++ b/tests/process/gateway_rows_test.py
@@ -24,6 +24,15 @@
         self.wait_for(lambda: self.call("/new/x", gateway=reader)[0] == 200, "version 9", SECONDS + 2)
         self.assertEqual((node.reads, node.most_reads_at_once), (1, 1))
 
+    # Guards against configurations above some size that no gateway reads any more.
+    def test_a_configuration_of_megabytes_is_read(self):
+        routes = [route(f"/route-{number}/", "idempotent", "app") for number in range(20000)]
+        config = json.dumps(make_config(9, routes)).encode()
+        self.assertGreater(len(config), 4 << 20)
+        self.store.put("op", "config", config)
+        self.wait_for(lambda: self.call("/route-19999/x")[0] == 200, "version 9", 5)
+        self.start_gateway("starting")
+
     # Guards against a gateway that never gets ready behind a slow link to the store.
     def test_a_table_that_arrives_slowly_from_the_store_is_read(self):
         self.store.body_seconds = SECONDS
