Send nothing for callers that left while the process was busy

Cause: a request that waits in the socket is read and sent in one go on an open connection to an endpoint, before the event loop reports that its caller has closed.

Change: the caller's connection is looked at right before each send.

--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -1,6 +1,7 @@
 #include "gateway/exchange_internal.h"
 
 #include "cassiashed/balancing/first_byte_timeout.h"
+#include "http/peek.h"
 #include <array>
 #include <boost/asio/write.hpp>
 #include <limits>
@@ -124,6 +125,11 @@
                            Body_->size(), Request_.HasBody);
 }
 
+void Exchange::cancelIfCallerLeft() {
+  if (http::probeReadable(Caller_) == http::Readable::Closed)
+    cancel(CancelReason::CallerDisconnected);
+}
+
 bool Exchange::excludeUnusable(const Dispatch &Chosen) {
   bool AllUsable = true;
   for (const EndpointRef &Endpoint : Chosen.Endpoints) {
@@ -272,6 +278,7 @@
   }
   if (!Connection)
     exclude(*Endpoint);
+  cancelIfCallerLeft();
   const bool AllUsable = excludeUnusable(Chosen);
   // The shutdown may have begun, or gone on, while memory was reserved.
   if (!Connection || CancelReason_ != CancelReason::None || !AllUsable ||
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -94,6 +94,9 @@
   /// silence of an endpoint alone is no reason to end its answer.
   bool canContinueElsewhere();
   void watchCaller();
+  /// Looks at the caller's connection itself. After the process was busy or
+  /// suspended, the request may run before the event of its caller's leaving.
+  void cancelIfCallerLeft();
   void cancel(CancelReason Reason);
 
   // Attempts.
--- a/tests/process/gateway_test.py
+++ b/tests/process/gateway_test.py
@@ -167,6 +167,26 @@
         running = [each for each in self.llm if each.requests]
         self.assertTrue(running[0].closed_by_caller.wait(3))
 
+    # Guards against requests that are sent after their callers left, by a process that was suspended meanwhile.
+    def test_callers_that_left_while_the_process_was_suspended_cause_no_runs(self):
+        self.share_script(self.app, ["slow:0.2"])
+        calls = [threading.Thread(target=self.call, args=("/get/x",)) for _ in range(10)]
+        for each in calls:
+            each.start()
+        for each in calls:
+            each.join()  # leaves open connections, on which a request is sent at once
+        self.share_script(self.app, ["ok"])
+        self.gateway.process.send_signal(signal.SIGSTOP)
+        self.addCleanup(self.gateway.process.send_signal, signal.SIGCONT)
+        for number in range(20):
+            with socket.create_connection((self.gateway.host, self.gateway.port)) as peer:
+                peer.sendall(f"GET /get/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: left{number}\r\n"
+                             f"Authorization: Bearer {KEY}\r\n\r\n".encode())
+        self.gateway.process.send_signal(signal.SIGCONT)
+        self.assertEqual(self.call("/get/x")[0], 200)
+        self.assertEqual(len(self.requests(self.app)), 1)
+        self.assertNotIn(b"event=attempt_sent id=left", self.gateway.log_path.read_bytes())
+
     # Memory at engines that help with a long prompt.
 
     def order_names(self, replica):
