Wait for an engine that can resume a broken stream

A stream that broke midway was broken off for its caller if no engine was free at that very moment, also where one was a moment later. It now waits up to 1.5 s, with the pauses of other waiting requests.

Streams that end with their caller's connection (HTTP/1.0) also close it if the caller asked to keep it, and a request that is given up at the end of a shutdown says so in its 502.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -23,6 +23,9 @@
 /// retry together.
 constexpr int MinPlacementRetryMs = 40;
 constexpr int MaxPlacementRetryMs = 90;
+/// A stream that broke midway waits this long for an endpoint that can resume
+/// it. Its caller could only start the same search at another node.
+constexpr Duration MaxResumeWait{1500};
 /// Weight of an output token relative to a prompt token in the value of a
 /// request: an output token takes a whole decode step, a prompt token a small
 /// part of a prefill step.
@@ -258,10 +261,14 @@
                                               DispatchRequest_.Work, Now);
     logPlacementFailure(State_, DispatchRequest_, Decision.Chosen, Now);
   }
+  Decision.RetryPlacementAfter = placementRetryDelay();
+  return Decision;
+}
+
+Duration Exchange::placementRetryDelay() {
   std::uniform_int_distribution<int> Spread(MinPlacementRetryMs,
                                             MaxPlacementRetryMs);
-  Decision.RetryPlacementAfter = Duration(Spread(State_.Random));
-  return Decision;
+  return Duration(Spread(State_.Random));
 }
 
 std::vector<std::string> Exchange::endpointsNotToUse() const {
@@ -300,6 +307,7 @@
   // A new id for each attempt: a placer may receive the end of the last attempt
   // after the question for the next one.
   DispatchRequest_.Work.Id = State_.NextWorkId++;
+  const TimePoint ResumeUntil = State_.now() + MaxResumeWait;
   Dispatch Chosen;
   while (true) {
     if (isTooLateToStart(idleFirstTokenMs())) {
@@ -335,11 +343,16 @@
     if (Decision.Next == balancing::Admission::Wait) {
       RetryDelay = Decision.RetryPlacementAfter;
     } else {
-      const bool CanWait =
+      if (!Chosen.Endpoints.empty())
+        break;
+      const bool CanWaitForWarmUp =
           Chosen.Failure == balancing::DispatchFailure::AllCold &&
           Now + ColdRetryInterval < WaitUntil;
-      if (!Chosen.Endpoints.empty() || !CanWait)
+      const bool CanWaitToResume = AnswerStarted_ && Now < ResumeUntil;
+      if (!CanWaitForWarmUp && !CanWaitToResume)
         break;
+      if (CanWaitToResume)
+        RetryDelay = placementRetryDelay();
     }
     co_await http::sleepFor(RetryDelay);
   }
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -72,10 +72,13 @@
     Caller_.set_option(asio::socket_base::linger(true, 0), Ignored);
 }
 
-void Exchange::endAnswer() {
+void Exchange::endAnswer(const AnswerHead &Head) {
   AnswerComplete_ = true;
+  if (!Head.KeepAlive)
+    Request_.KeepAlive = false;
   Code Ignored;
-  Caller_.set_option(asio::socket_base::linger(false, 0), Ignored);
+  if (Head.Body == Framing::Close)
+    Caller_.set_option(asio::socket_base::linger(false, 0), Ignored);
 }
 
 http::Task<bool> Exchange::readPiece(EndpointConnection &Connection,
@@ -155,7 +158,7 @@
       setEndpointDeadline(State_.now() + IdleTimeout);
     }
     if (Complete) {
-      endAnswer();
+      endAnswer(AnswerHead_);
       co_return AttemptResult::Answered;
     }
     if (!Read || Parser.is_done() || Events_.isOversized()) {
@@ -223,8 +226,7 @@
     if (Parser.is_done() && Answer.Head.Body == Framing::Chunked)
       Bytes += LastChunk;
   }
-  endAnswer();
-  Request_.KeepAlive = Answer.Head.KeepAlive;
+  endAnswer(Answer.Head);
   co_return AttemptResult::Answered;
 }
 
@@ -271,14 +273,14 @@
     beginAnswer(BufferedAnswer_->Head.Body);
     const bool Written = co_await writeToCaller(std::move(Bytes));
     if (Written)
-      endAnswer();
-    if (BufferedAnswer_->Head.Body == Framing::Close)
-      Request_.KeepAlive = false;
+      endAnswer(BufferedAnswer_->Head);
     Outcome_ = Last == AttemptResult::Answered ? "answered" : "endpoint_failed";
     co_return;
   }
   if (MayHaveRun_) {
-    if (CancelReason_ == CancelReason::DeadlinePassed)
+    if (CancelReason_ == CancelReason::ShuttingDown)
+      co_await answerWithError(502, std::nullopt, "stopping");
+    else if (CancelReason_ == CancelReason::DeadlinePassed)
       co_await answerWithError(504, std::nullopt, "no answer in time");
     else
       co_await answerWithError(502, std::nullopt, "the endpoint failed");
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -111,6 +111,7 @@
   std::vector<std::string> endpointsNotToUse() const;
   PlacementDecision decideLocally(TimePoint Now,
                                   const PlacementContext &Context);
+  Duration placementRetryDelay();
   http::Task<bool> reserve(const Dispatch &Chosen);
   /// Delay before memory is reserved again after a helper had too little. Grows
   /// with each failure; random, so that requests do not retry together.
@@ -169,7 +170,7 @@
   /// as a reset, even if this process is killed.
   void beginAnswer(Framing Body);
   /// Call when the whole answer was written.
-  void endAnswer();
+  void endAnswer(const AnswerHead &Head);
 
   http::Task<void> answerWithError(int Status,
                                    std::optional<Duration> RetryAfter,
--- a/tests/process/gateway_framing_test.py
+++ b/tests/process/gateway_framing_test.py
@@ -22,11 +22,11 @@
     def ask(self, path):
         return self.call(path, "POST", b"prompt", **{"Token-Counts": "5000,300"})
 
-    def old_caller(self, path):
+    def old_caller(self, path, fields=""):
         """Bytes that a caller without chunks gets, and whether its connection is reset."""
         with socket.create_connection((self.gateway.host, self.gateway.port), timeout=5) as peer:
             peer.sendall(f"POST {path} HTTP/1.0\r\nHost: h.example\r\nAttempt-Id: old\r\nContent-Length: 0\r\n"
-                         f"Token-Counts: 5000,300\r\nAuthorization: Bearer {KEY}\r\n\r\n".encode())
+                         f"Token-Counts: 5000,300\r\nAuthorization: Bearer {KEY}\r\n{fields}\r\n".encode())
             answer = b""
             try:
                 while piece := peer.recv(65536):
@@ -70,9 +70,10 @@
     def test_a_broken_stream_of_a_caller_without_chunks_is_reset(self):
         for each in self.llm:
             each.script = ["unframed_events"]
-        answer, was_reset = self.old_caller("/once/x")
-        self.assertTrue(answer.endswith(EVENTS))
-        self.assertFalse(was_reset)
+        for fields in ("", "Connection: keep-alive\r\n"):
+            answer, was_reset = self.old_caller("/once/x", fields)
+            self.assertTrue(answer.endswith(EVENTS))
+            self.assertFalse(was_reset)
         for behaviour in ("cut", "unframed_cut", "sized_cut"):
             self.share_script(self.llm, [behaviour])
             answer, was_reset = self.old_caller("/once/x")
--- a/tests/process/gateway_silence_test.py
+++ b/tests/process/gateway_silence_test.py
@@ -1,5 +1,6 @@
 """Replicas that are silent for a while in the middle of their work."""
 
+import threading
 import time
 import unittest
 
@@ -56,6 +57,14 @@
         self.assertLess(time.monotonic() - begin, 5)
         self.assertEqual(len(self.requests(self.llm)), 2)
 
+    # Guards against streams that are broken off because no other engine is free at that very moment.
+    def test_a_broken_stream_waits_for_an_engine_that_can_resume_it(self):
+        self.leave_one_engine()
+        self.llm[0].script = ["cut"]
+        threading.Timer(0.5, self.store.put, ("servers", "llm-1", self.llm[1].entry("llm"))).start()
+        status, _, body = self.ask("/stream/x")
+        self.assertEqual((status, body), (200, EVENTS))
+
     # Guards against answers of idempotent calls that are cut, while they arrive, at half of their time.
     def test_an_answer_that_is_still_arriving_is_not_cut(self):
         self.share_script(self.app, ["slow:2.4"])
