End a short grace period with an answer

A grace period of 3 s or less ended with SIGKILL and no answer: the process looked at its end only after the time that it leaves to the load balancer.

Evidence: test_a_short_grace_period_ends_with_an_answer_too fails on and passes with the change.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -373,13 +373,15 @@
   void continueShutdown(TimePoint Now) {
     const Duration Elapsed =
         std::chrono::duration_cast<Duration>(Now - State_.StoppingSince);
+    const Duration Grace = State_.Settings.Bounds.Grace;
+    if (Elapsed >= Grace - FinalAnswerMargin)
+      endUnansweredRequests(State_);
+    if (Elapsed >= Grace - ShutdownMargin)
+      Context_.stop();
     if (Elapsed < BalancerDelay)
       return;
     Callers_->closeIdle();
-    if (Elapsed >= State_.Settings.Bounds.Grace - FinalAnswerMargin)
-      endUnansweredRequests(State_);
-    const bool Idle = State_.ActiveRequests.empty();
-    if (Idle || Elapsed >= State_.Settings.Bounds.Grace - ShutdownMargin)
+    if (State_.ActiveRequests.empty())
       Context_.stop();
   }
 
--- a/tests/process/gateway_stop_test.py
+++ b/tests/process/gateway_stop_test.py
@@ -73,6 +73,18 @@
         self.assertEqual([targets().count(path) for path in ("/post/x", "/once/x")], [1, 1])
         self.assertEqual(self.stopping.process.wait(GRACE_S), 0)
 
+    # Guards against a process that is killed in the time that it leaves to the load balancer.
+    def test_a_short_grace_period_ends_with_an_answer_too(self):
+        self.stopping = self.start_gateway("short", grace_s=2)
+        for each in self.app:
+            each.script = ["late:9"]
+        thread, result = self.begin("/post/x")
+        self.wait_for(lambda: self.requests(self.app), "it is passed on")
+        self.stop()
+        thread.join()
+        self.assertEqual(result[0], 502)
+        self.assertEqual(self.stopping.process.wait(2), 0)
+
     # Guards against requests that are taken late, by the time that idle engines need, and cut at the end.
     def test_late_requests_are_refused_at_once_unless_they_surely_end(self):
         for each in self.llm:
