Tell callers soon that a repeatable request got no answer

Since silent endpoints are given up only if this node may try another one, callers of resumable streams whose last attempt went to an engine that went dark waited until they gave up.

Change: before the first event of a repeatable request, the limit holds whenever another endpoint could run it, for this node or for its caller.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -180,7 +180,7 @@
     return;
   }
   if (Now >= EndpointDeadline_ && ActiveConnection_) {
-    if (canContinueElsewhere())
+    if (AnswerStarted_ ? canResumeElsewhere() : canRetryElsewhere())
       abandonEndpoint();
     else
       EndpointDeadline_ = Now + SilenceCheckPeriod;
@@ -195,18 +195,23 @@
   ActiveConnection_->Socket.close(Ignored);
 }
 
-bool Exchange::canContinueElsewhere() {
-  if (!allowsAnotherAttempt() || (AnswerStarted_ && !isAnswerResumable()))
-    return false;
-  const TimePoint Now = State_.now();
-  if (!State_.Retries.canSpendRetry(Service_->Name, State_.sharingNodes(), Now))
+bool Exchange::canRetryElsewhere() {
+  if (!Route_->isRetryable())
     return false;
   DispatchRequest_.Work.DeadlineMs =
       static_cast<double>(remainingTime().count());
-  return !State_.Dispatcher.choose(DispatchRequest_, Now, State_.Random)
+  return !State_.Dispatcher
+              .choose(DispatchRequest_, State_.now(), State_.Random)
               .Endpoints.empty();
 }
 
+bool Exchange::canResumeElsewhere() {
+  return isAnswerResumable() && allowsAnotherAttempt() &&
+         State_.Retries.canSpendRetry(Service_->Name, State_.sharingNodes(),
+                                      State_.now()) &&
+         canRetryElsewhere();
+}
+
 void Exchange::cancel(CancelReason Reason) {
   if (CancelReason_ != CancelReason::None)
     return;
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -327,7 +327,9 @@
       Duration(static_cast<Duration::rep>(std::min(1e6, Chosen.FirstTokenMs)));
   Sent.PrefillEngines = Chosen.Endpoints.size();
   Sent.Remaining = remainingTime();
-  Sent.CanRetryElsewhere = allowsAnotherAttempt();
+  // The caller of a stream retries if this node may not.
+  Sent.CanRetryElsewhere =
+      Sent.IsStream ? Route_->isRetryable() : allowsAnotherAttempt();
   const std::optional<Duration> Timeout = balancing::firstByteTimeout(Sent);
   return Timeout ? State_.now() + *Timeout : TimePoint::max();
 }
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -90,9 +90,12 @@
   void onTimeout();
   /// Ends the current attempt because its endpoint has been silent.
   void abandonEndpoint();
-  /// Whether another endpoint could take over the current attempt now. The
-  /// silence of an endpoint alone is no reason to end its answer.
-  bool canContinueElsewhere();
+  /// Whether another endpoint could run the request now, for this node or, if
+  /// it may make no further attempt, for the caller after a 502. The silence of
+  /// an endpoint alone is no reason to give up its answer.
+  bool canRetryElsewhere();
+  /// Whether this node could continue the started answer at another endpoint.
+  bool canResumeElsewhere();
   void watchCaller();
   /// Looks at the caller's connection itself. After the process was busy or
   /// suspended, the request may run before the event of its caller's leaving.
--- a/tests/process/gateway_silence_test.py
+++ b/tests/process/gateway_silence_test.py
@@ -49,6 +49,19 @@
         status, _, body = self.ask("/stream/x")
         self.assertEqual((status, body), (200, EVENTS))
 
+    # Guards against callers that wait in vain for an engine that went dark, instead of retrying elsewhere.
+    def test_a_caller_is_told_soon_that_the_last_attempt_got_no_answer(self):
+        third = self.make_replica("llm-2")
+        third.script = ["events"]
+        self.store.put("servers", third.identity, third.entry("llm"))
+        self.wait_for(lambda: b"endpoint=llm-2" in self.gateway.log_path.read_bytes(), "three engines")
+        every = self.llm + [third]
+        self.share_script(every, ["mute"])
+        begin = time.monotonic()
+        self.assertEqual(self.ask("/stream/x")[0], 502)
+        self.assertLess(time.monotonic() - begin, 6)
+        self.assertEqual(len(self.requests(every)), 2)
+
     def test_a_silent_stream_is_resumed_at_another_engine(self):
         self.share_script(self.llm, ["pause:9", "events"])
         begin = time.monotonic()
