Let the stand-in refuse each order for memory by itself

Cause: the stand-in looked at the last order of all connections. Where a release of another connection came between, a reservation was granted although the test had taken the memory away.

Change: each call is judged by its own order.

--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -98,9 +98,10 @@
 
     def _answer_engine_call(self, connection, target, body):
         if target == "/order":
-            self.orders.append(json.loads(body))
+            order = json.loads(body)
+            self.orders.append(order)
             time.sleep(self.order_pause)
-            if not self.has_memory and self.orders[-1]["operation"] == "reserve":
+            if not self.has_memory and order["operation"] == "reserve":
                 connection.sendall(b"HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}")
                 return
         elif not self.reports:
