Show connections of callers that end with bytes unread

The logs of a gateway said nothing about connections that it closed although a request of the caller had arrived, so an answer given up and a request never read looked the same from inside. caller_bytes_unread, a counter by cause, and two fields of "stopped" tell them apart.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -1,6 +1,8 @@
 #include "gateway/caller_server.h"
 
 #include "gateway/exchange.h"
+#include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <unordered_set>
 
@@ -52,27 +54,29 @@
   asio::steady_timer Timer_;
 };
 
+class Connection;
+
 /// State that a server shares with its connections.
 struct ServerState {
   explicit ServerState(GatewayState &Gateway) : Gateway(Gateway) {}
   GatewayState &Gateway;
   std::unordered_set<Tcp::socket *> Idle;
-  std::size_t Connections = 0;
+  std::unordered_set<const Connection *> Open;
 };
 
-class ConnectionCounter {
-public:
-  explicit ConnectionCounter(ServerState &State) : State_(State) {
-    ++State_.Connections;
-  }
-  ConnectionCounter(const ConnectionCounter &) = delete;
-  ConnectionCounter &operator=(const ConnectionCounter &) = delete;
-  ~ConnectionCounter() { --State_.Connections; }
-
-private:
-  ServerState &State_;
+/// Why a connection of a caller ended.
+enum class ConnectionEnd {
+  NotWaiting, ///< idle for too long, closed by its caller or by a shutdown
+  Unreadable, ///< its next request could not be read
+  Answered,   ///< after an answer
 };
 
+std::string_view nameOf(ConnectionEnd End) {
+  static constexpr std::array<std::string_view, 3> Names = {
+      "not_waiting", "unreadable", "answered"};
+  return Names[static_cast<std::size_t>(End)];
+}
+
 /// Status for a request that could not be read; 0 if the caller disconnected.
 int statusOfReadFailure(const Code &Failure, bool TimedOut) {
   if (TimedOut)
@@ -92,23 +96,33 @@
 class Connection {
 public:
   Connection(std::shared_ptr<ServerState> Server, Tcp::socket Socket)
-      : Server_(std::move(Server)), Socket_(std::move(Socket)),
-        Counter_(*Server_) {}
+      : Server_(std::move(Server)), Socket_(std::move(Socket)) {
+    Server_->Open.insert(this);
+  }
+  Connection(const Connection &) = delete;
+  Connection &operator=(const Connection &) = delete;
+  ~Connection() { Server_->Open.erase(this); }
 
   http::Task<void> serve() {
+    ConnectionEnd End = ConnectionEnd::Answered;
     bool KeepAlive = true;
     while (KeepAlive) {
       const bool HasRequest = co_await waitForRequest();
-      if (!HasRequest)
+      if (!HasRequest) {
+        End = ConnectionEnd::NotWaiting;
         break;
+      }
       ReceivedRequest Request;
       const bool Received = co_await readRequest(Request);
-      if (!Received)
+      if (!Received) {
+        End = ConnectionEnd::Unreadable;
         break;
+      }
       KeepAlive = co_await serveRequest(gateway(), Socket_, Request);
       if (Buffer_.size() == 0)
         Buffer_.shrink_to_fit();
     }
+    recordEnd(End);
     Code Ignored;
     asio::socket_base::linger ResetOnClose;
     Socket_.get_option(ResetOnClose, Ignored);
@@ -118,9 +132,28 @@
     Socket_.close(Ignored);
   }
 
+  /// Bytes that arrived and belong to no request that was served.
+  std::size_t unreadBytes() const {
+    Code Ignored;
+    return Buffer_.size() + Socket_.available(Ignored);
+  }
+
 private:
   GatewayState &gateway() { return Server_->Gateway; }
 
+  void recordEnd(ConnectionEnd End) {
+    const std::size_t Unread = unreadBytes();
+    gateway().Metrics->countConnectionEnd(nameOf(End), Unread > 0);
+    if (Unread == 0)
+      return;
+    gateway().Log.write("caller_bytes_unread", gateway().now(),
+                        [&](LogLine &Line) {
+                          Line.field("end", nameOf(End))
+                              .field("bytes", Unread)
+                              .field("stopping", gateway().Stopping);
+                        });
+  }
+
   const catalog::CallerLimits &limits() {
     static const catalog::CallerLimits Defaults;
     return gateway().Config ? gateway().Config->Limits : Defaults;
@@ -222,7 +255,6 @@
 
   std::shared_ptr<ServerState> Server_;
   Tcp::socket Socket_;
-  ConnectionCounter Counter_;
   beast::flat_buffer Buffer_;
   bool HasReadRequest_ = false;
 };
@@ -266,7 +298,12 @@
       Socket->cancel(Ignored);
     }
   }
-  std::size_t connectionCount() const override { return State_->Connections; }
+  std::size_t connectionCount() const override { return State_->Open.size(); }
+  std::size_t unreadCount() const override {
+    return static_cast<std::size_t>(std::count_if(
+        State_->Open.begin(), State_->Open.end(),
+        [](const Connection *Open) { return Open->unreadBytes() > 0; }));
+  }
 
 private:
   void accept() {
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -15,6 +15,8 @@
   /// their answer if the process is stopping.
   virtual void closeIdle() = 0;
   virtual std::size_t connectionCount() const = 0;
+  /// Connections with bytes of their callers that were not read.
+  virtual std::size_t unreadCount() const = 0;
 };
 
 /// Returns null and sets `Reason` if the address cannot be used.
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -54,7 +54,9 @@
     Context_.run();
     logEvent("stopped")
         .field("node", Self.Name)
-        .field("active_requests", State_.ActiveRequests.size());
+        .field("active_requests", State_.ActiveRequests.size())
+        .field("connections", Callers_->connectionCount())
+        .field("unread_connections", Callers_->unreadCount());
     return 0;
   }
 
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -57,6 +57,11 @@
   void countAttempt(std::string_view Result) override {
     Attempts_.Add({{"result", std::string(Result)}}).Increment();
   }
+  void countConnectionEnd(std::string_view End, bool Unread) override {
+    ConnectionEnds_
+        .Add({{"end", std::string(End)}, {"unread", Unread ? "yes" : "no"}})
+        .Increment();
+  }
   void observeFirstByte(std::string_view Kind, std::string_view Workspace,
                         Duration Delay) override {
     FirstBytes_
@@ -111,6 +116,13 @@
           .Name("cassiashed_attempts_total")
           .Help("Attempts at endpoints by result")
           .Register(Registry_);
+  prometheus::Family<prometheus::Counter> &ConnectionEnds_ =
+      prometheus::BuildCounter()
+          .Name("cassiashed_caller_connections_ended_total")
+          .Help(
+              "Connections of callers that ended, by cause, and whether bytes "
+              "of the caller were not read")
+          .Register(Registry_);
   prometheus::Family<prometheus::Histogram> &FirstBytes_ =
       prometheus::BuildHistogram()
           .Name("cassiashed_first_byte_milliseconds")
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -19,6 +19,9 @@
   virtual void countPrompt(std::string_view Route, double PromptTokens,
                            std::string_view Outcome) = 0;
   virtual void countAttempt(std::string_view Result) = 0;
+  /// Counts a caller's connection that ended; `Unread`: with bytes of the
+  /// caller that were not read.
+  virtual void countConnectionEnd(std::string_view End, bool Unread) = 0;
   virtual void observeFirstByte(std::string_view Kind,
                                 std::string_view Workspace, Duration Delay) = 0;
   /// Records the predicted and the actual time to the first token.
