Keep a silent stream until another endpoint continues it

Callers saw streams that ended in the middle although their endpoint was at work on them (LOST beside planned work). When an endpoint was silent for too long and another one could be chosen, the connection to the silent one was closed first. If the other one then refused, failed or was silent as well, and the attempts of the route were used up, nothing was left.

The silent attempt is now suspended with its connection, parser, begun event and reserved memory. It is dropped when another endpoint has sent an event, and resumed when none does or when it sends again itself.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -192,7 +192,10 @@
   EndpointTimedOut_ = true;
   EndpointDeadline_ = TimePoint::max();
   Code Ignored;
-  ActiveConnection_->Socket.close(Ignored);
+  if (AnswerStarted_ && !Suspended_)
+    ActiveConnection_->Socket.cancel(Ignored); // the attempt may be resumed
+  else
+    ActiveConnection_->Socket.close(Ignored);
 }
 
 bool Exchange::canRetryElsewhere() {
@@ -219,6 +222,7 @@
   Code Ignored;
   if (ActiveConnection_)
     ActiveConnection_->Socket.close(Ignored);
+  Suspended_.reset();
   // Aborts a write to a caller that does not read.
   if (AnswerStarted_)
     Caller_.cancel(Ignored);
@@ -353,7 +357,8 @@
       const bool CanWaitForWarmUp =
           Chosen.Failure == balancing::DispatchFailure::AllCold &&
           Now + ColdRetryInterval < WaitUntil;
-      const bool CanWaitToResume = AnswerStarted_ && Now < ResumeUntil;
+      const bool CanWaitToResume =
+          AnswerStarted_ && !SuspendedSendsAgain_ && Now < ResumeUntil;
       if (!CanWaitForWarmUp && !CanWaitToResume)
         break;
       if (CanWaitToResume)
@@ -395,6 +400,7 @@
       return false;
     break;
   case AttemptResult::Broken:
+  case AttemptResult::Suspended:
     if (!isAnswerResumable())
       return false;
     break;
@@ -436,10 +442,16 @@
       bool Retry = true;
       while (Retry) {
         Chosen = co_await chooseEndpoints();
-        if (Chosen.Endpoints.empty() || CancelReason_ != CancelReason::None)
-          break;
-        Last = co_await attempt(Chosen);
-        Retry = shouldRetry(Last);
+        Retry =
+            !Chosen.Endpoints.empty() && CancelReason_ == CancelReason::None;
+        if (Retry) {
+          Last = co_await attempt(Chosen);
+          Retry = !SuspendedSendsAgain_ && shouldRetry(Last);
+        }
+        if (!Retry && Suspended_) {
+          Last = co_await resumeSuspended();
+          Retry = shouldRetry(Last);
+        }
       }
       co_await sendFinalAnswer(Last, Chosen);
     }
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -128,6 +128,12 @@
   setEndpointDeadline(State_.now() + IdleTimeout);
   while (true) {
     const bool Read = co_await readPiece(Connection, Parser, Piece);
+    if (Read)
+      EndpointTimedOut_ = false;
+    else if (EndpointTimedOut_ && Connection.Socket.is_open())
+      co_return AttemptResult::Suspended;
+    if (SuspendedSendsAgain_)
+      co_return AttemptResult::Failed;
     std::string Output = Events_.append(Piece);
     const bool Complete =
         Read && Parser.is_done() &&
@@ -149,6 +155,7 @@
     if (Complete && AnswerHead_.Body == Framing::Chunked)
       Bytes += LastChunk;
     if (!Bytes.empty()) {
+      Suspended_.reset();
       recordTokenGap();
       setEndpointDeadline(TimePoint::max());
       const bool Written = co_await writeToCaller(std::move(Bytes));
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -27,8 +27,9 @@
 } // namespace
 
 std::string_view nameOf(AttemptResult Result) {
-  static constexpr std::array<std::string_view, 6> Names = {
-      "answered", "not_sent", "not_run", "failed", "failed_answer", "broken"};
+  static constexpr std::array<std::string_view, 7> Names = {
+      "answered",      "not_sent", "not_run",  "failed",
+      "failed_answer", "broken",   "suspended"};
   return Names[static_cast<std::size_t>(Result)];
 }
 
@@ -250,7 +251,7 @@
 
 void Exchange::recordInterruption(const EndpointRef &Endpoint) {
   const TimePoint Now = State_.now();
-  if (CancelReason_ != CancelReason::None)
+  if (CancelReason_ != CancelReason::None || SuspendedSendsAgain_)
     return; // this node closed the connection
   State_.recordOutcome(*Endpoint, EndpointTimedOut_
                                       ? EndpointOutcome::Unresponsive
@@ -282,7 +283,7 @@
   const bool AllUsable = excludeUnusable(Chosen);
   // The shutdown may have begun, or gone on, while memory was reserved.
   if (!Connection || CancelReason_ != CancelReason::None || !AllUsable ||
-      isTooLateToStart(Chosen.FirstTokenMs)) {
+      SuspendedSendsAgain_ || isTooLateToStart(Chosen.FirstTokenMs)) {
     finishWork();
     releaseReservations();
     co_return AttemptResult::NotSent;
@@ -308,6 +309,12 @@
   Connection.reset();
   finishWork();
   releaseReservations();
+  logAttemptEnd(Endpoint, Result);
+  co_return Result;
+}
+
+void Exchange::logAttemptEnd(const EndpointRef &Endpoint,
+                             AttemptResult Result) {
   State_.Metrics->countAttempt(nameOf(Result));
   State_.Log.write("attempt_ended", State_.now(), [&](LogLine &Line) {
     Line.field("id", RequestHead_.AttemptId)
@@ -317,7 +324,6 @@
         .field("silent", EndpointTimedOut_)
         .field("cause", FailureCause_);
   });
-  co_return Result;
 }
 
 TimePoint Exchange::firstByteDeadline(const Dispatch &Chosen) const {
@@ -356,12 +362,12 @@
   const EndpointRef Endpoint = Chosen.Endpoints.front();
   const bool IsStream = Route_->Kind == CallKind::Stream;
   setEndpointDeadline(firstByteDeadline(Chosen));
-  std::optional<ResponseParser> Parser;
+  std::unique_ptr<ResponseParser> Parser;
   EndpointHead Answer;
   bool Matches = false;
   std::size_t StaleAnswerBytes = 0;
   for (int Skipped = 0; !Matches && Skipped <= MaxStaleAnswers; ++Skipped) {
-    Parser.emplace();
+    Parser = std::make_unique<ResponseParser>();
     Parser->header_limit(MaxEndpointHeadBytes);
     // Boost 1.74 treats an absent limit as 0 if the answer states a length.
     Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -437,14 +443,26 @@
     Result = co_await relayWhole(*Connection, *Parser);
     recordFirstByte(Chosen);
   }
+  if (Result == AttemptResult::Suspended)
+    suspend(Endpoint, std::move(Connection), std::move(Parser), Sending);
+  else
+    finishAttempt(Endpoint, Result, std::move(Connection), *Parser, *Sending);
+  co_return Result;
+}
+
+void Exchange::finishAttempt(const EndpointRef &Endpoint, AttemptResult Result,
+                             EndpointConnectionPtr Connection,
+                             const ResponseParser &Parser,
+                             const PendingWrite &Sending) {
   if (Result == AttemptResult::Answered ||
       Result == AttemptResult::FailedAnswer) {
-    State_.recordOutcome(*Endpoint, Status >= 500 ? EndpointOutcome::ServerError
+    const bool IsServerError = Parser.get().result_int() >= 500;
+    State_.recordOutcome(*Endpoint, IsServerError ? EndpointOutcome::ServerError
                                                   : EndpointOutcome::Answered);
     State_.Crashes.recordCompletion(ContentHash_);
-    if (Sending->Done && !Sending->Failure && Parser->is_done() &&
-        Parser->keep_alive() && CancelReason_ == CancelReason::None) {
-      const auto KeepAlive = Parser->get()[bhttp::field::keep_alive];
+    if (Sending.Done && !Sending.Failure && Parser.is_done() &&
+        Parser.keep_alive() && CancelReason_ == CancelReason::None) {
+      const auto KeepAlive = Parser.get()[bhttp::field::keep_alive];
       Connection->KeepAliveTimeout =
           keepAliveTimeout({KeepAlive.data(), KeepAlive.size()});
       State_.Pool.release(std::move(Connection), State_.now());
@@ -453,7 +471,6 @@
              Result == AttemptResult::Broken) {
     recordInterruption(Endpoint);
   }
-  co_return Result;
 }
 
 } // namespace cassiashed::gateway
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -32,6 +32,7 @@
   Failed,       ///< may have run; nothing went to the caller
   FailedAnswer, ///< the endpoint's own error answer, kept for the caller
   Broken,       ///< interrupted after a part went to the caller
+  Suspended,    ///< silent after a part went to the caller; may go on later
 };
 
 std::string_view nameOf(AttemptResult Result);
@@ -52,9 +53,27 @@
   std::string Body;
 };
 
+/// An attempt whose endpoint fell silent in the middle of a stream. It is kept
+/// until another endpoint has continued the stream, since that one may refuse
+/// or fail, and the silent one may go on.
+struct SuspendedAttempt {
+  EndpointRef Endpoint;
+  EndpointConnectionPtr Connection;
+  std::unique_ptr<ResponseParser> Parser;
+  std::shared_ptr<PendingWrite> Sending;
+  EventAssembler Events; ///< with the begin of an event, if it is inside one
+  std::shared_ptr<Reservations> Memory;
+
+  ~SuspendedAttempt() {
+    if (Memory)
+      Memory->release();
+  }
+};
+
 /// Serves one request of a caller. Routing, placement and the loop over
 /// attempts are in exchange.cpp, one attempt at an endpoint is in
-/// exchange_attempt.cpp, and the answer to the caller in exchange_answer.cpp.
+/// exchange_attempt.cpp, attempts with silent endpoints in
+/// exchange_suspended.cpp, and the answer to the caller in exchange_answer.cpp.
 class Exchange : public std::enable_shared_from_this<Exchange> {
 public:
   Exchange(GatewayState &State, Tcp::socket &Caller, ReceivedRequest &Request)
@@ -131,6 +150,21 @@
   http::Task<AttemptResult>
   receive(const Dispatch &Chosen, EndpointConnectionPtr &Connection,
           const std::shared_ptr<PendingWrite> &Sending);
+  /// Keeps the state of an attempt whose endpoint is silent.
+  void suspend(const EndpointRef &Endpoint, EndpointConnectionPtr Connection,
+               std::unique_ptr<ResponseParser> Parser,
+               std::shared_ptr<PendingWrite> Sending);
+  /// Goes on with the suspended attempt, because no other endpoint continued
+  /// its stream.
+  http::Task<AttemptResult> resumeSuspended();
+  /// Ends the attempt that should replace the suspended one if that one sends
+  /// again first.
+  void watchSuspended();
+  /// Records the result of an attempt and keeps its connection for others.
+  void finishAttempt(const EndpointRef &Endpoint, AttemptResult Result,
+                     EndpointConnectionPtr Connection,
+                     const ResponseParser &Parser, const PendingWrite &Sending);
+  void logAttemptEnd(const EndpointRef &Endpoint, AttemptResult Result);
   /// How long a stream may be silent before another endpoint takes over.
   Duration streamIdleTimeout() const;
   http::Task<AttemptResult> relayStream(EndpointConnection &Connection,
@@ -210,6 +244,8 @@
   bool EndpointTimedOut_ = false;
   std::string FailureCause_; ///< of the last attempt
   EndpointConnection *ActiveConnection_ = nullptr;
+  std::unique_ptr<SuspendedAttempt> Suspended_;
+  bool SuspendedSendsAgain_ = false;
 
   std::shared_ptr<Reservations> Reservations_;
   std::vector<ReservationPlan> ReservationPlans_;
--- a/tests/process/gateway_silence_test.py
+++ b/tests/process/gateway_silence_test.py
@@ -70,6 +70,14 @@
         self.assertLess(time.monotonic() - begin, 5)
         self.assertEqual(len(self.requests(self.llm)), 2)
 
+    # Guards against streams that are given up for an engine that then refuses, fails or stays silent as well.
+    def test_a_silent_stream_is_kept_until_another_engine_continues_it(self):
+        for other in ("refuse", "reset", "error", "cut_head", "mute"):
+            with self.subTest(other):
+                self.share_script(self.llm, ["pause:4", other])
+                self.assertEqual(self.ask("/stream/x")[::2], (200, EVENTS))
+                self.assertEqual(len(self.requests(self.llm)), 2)
+
     # Guards against streams that are broken off because no other engine is free at that very moment.
     def test_a_broken_stream_waits_for_an_engine_that_can_resume_it(self):
         self.leave_one_engine()
--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -26,8 +26,8 @@
 class Replica:
     """Behaviours of `script`: "ok", "events", "cut" (in the middle of an event),
     "reset" (after the request was read), "refuse" (not run), "truncate",
-    "unsigned", "foreign" (an answer to another request first), "mute",
-    "error" (its own 500), "unframed" (ends with its connection), "late:S" (events
+    "unsigned", "cut_head" (closes in the middle of its answer's head), "foreign"
+    (an answer to another request first), "mute", "error" (its own 500), "unframed" (ends with its connection), "late:S" (events
     after S seconds), "pause:S" (S seconds between two events), "slow:S" (a body
     that takes S seconds), "unframed_events" (events that end with the
     connection), "unframed_cut" (the same, in the middle of an event),
@@ -135,6 +135,9 @@
             connection.sendall(self._head("503 Busy", fields, ["Not-Executed: 1", "Content-Length: 0"]))
         elif behaviour == "unsigned":
             connection.sendall(self._head("200 OK", fields, ["Content-Length: 2"]) + b"no")
+        elif behaviour == "cut_head":
+            connection.sendall(self._whole(fields)[:30])
+            return False
         elif behaviour == "truncate":
             connection.sendall(self._whole(fields)[:-4])
             return False
