Answer every request that has arrived when a gateway stops

Callers on kept connections saw them close without an answer after a SIGTERM of their gateway (LOST): a request that was sent early behind another one, and, where the process lagged behind its sockets, any request that lay there when idle connections were closed or the process ended. Streams whose head promised a kept connection ended with it, so the next request crossed the close.

Cause: connections and the process were ended by what the gateway knew of requests, not by what had arrived. waitForRequest and Exchange::run ended connections without a look at their bytes, closeIdle cancelled waits whatever had arrived since, and the process ended as soon as no request was active, though some were being read or waited in the listening queue.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -1,6 +1,7 @@
 #include "gateway/caller_server.h"
 
 #include "gateway/exchange.h"
+#include "http/peek.h"
 #include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
@@ -13,8 +14,9 @@
 
 /// Rate below which receiving a body times out.
 constexpr std::size_t MinBodyBytesPerSecond = 16 * 1024;
-/// After a refusal, bytes are read and discarded for this time: closing a
-/// connection with unread bytes resets it, and the caller loses the answer.
+/// Before a connection with unread bytes is closed, they are read and discarded
+/// for this time: closing it at once resets it, and the caller may lose the
+/// answer.
 constexpr Duration LingerTimeout{1000};
 constexpr std::size_t MaxLingerBytes = 8 * 1024 * 1024;
 /// Bytes of a request that are buffered before they are parsed, besides the
@@ -127,8 +129,11 @@
     asio::socket_base::linger ResetOnClose;
     Socket_.get_option(ResetOnClose, Ignored);
     // An orderly end would make an answer without framing look complete.
-    if (!ResetOnClose.enabled())
-      Socket_.shutdown(Tcp::socket::shutdown_both, Ignored);
+    if (!ResetOnClose.enabled()) {
+      Socket_.shutdown(Tcp::socket::shutdown_send, Ignored);
+      if (End == ConnectionEnd::Unreadable || unreadBytes() > 0)
+        co_await discardInput();
+    }
     Socket_.close(Ignored);
   }
 
@@ -162,8 +167,6 @@
   http::Task<bool> waitForRequest() {
     if (Buffer_.size() != 0)
       co_return true;
-    if (gateway().Stopping && HasReadRequest_)
-      co_return false;
     Server_->Idle.insert(&Socket_);
     Code Failure;
     {
@@ -171,11 +174,11 @@
       co_await Socket_.async_wait(Tcp::socket::wait_read, intoCode(Failure));
     }
     Server_->Idle.erase(&Socket_);
-    co_return !Failure;
+    // A request may have arrived since the wait was cancelled.
+    co_return !Failure || http::probeReadable(Socket_) == http::Readable::Bytes;
   }
 
   http::Task<bool> readRequest(ReceivedRequest &Request) {
-    HasReadRequest_ = true;
     Request.ReceivedAt = gateway().now();
     RequestParser Parser;
     const catalog::CallerLimits Limits = limits();
@@ -229,6 +232,7 @@
     Request.IsHttp10 = Message.version() < 11;
     Request.KeepAlive = Message.keep_alive();
     Request.Body = std::move(Parser.get().body());
+    Request.IsFollowed = Buffer_.size() != 0;
   }
 
   http::Task<void> refuse(int Status, std::string Reason) {
@@ -239,12 +243,11 @@
     ErrorAnswer Answer;
     Answer.Status = Status;
     Answer.Message = std::move(Reason);
-    const bool Sent =
-        co_await sendErrorAnswer(gateway(), Socket_, std::move(Answer));
-    if (!Sent)
-      co_return;
+    co_await sendErrorAnswer(gateway(), Socket_, std::move(Answer));
+  }
+
+  http::Task<void> discardInput() {
     Code Failure;
-    Socket_.shutdown(Tcp::socket::shutdown_send, Failure);
     const ReadTimeout Timeout(Socket_, LingerTimeout);
     std::array<char, 4096> Discarded{};
     std::size_t Total = 0;
@@ -256,13 +259,10 @@
   std::shared_ptr<ServerState> Server_;
   Tcp::socket Socket_;
   beast::flat_buffer Buffer_;
-  bool HasReadRequest_ = false;
 };
 
-http::Task<void> serveConnection(std::shared_ptr<ServerState> Server,
-                                 Tcp::socket Socket) {
-  Connection Caller(std::move(Server), std::move(Socket));
-  co_await Caller.serve();
+http::Task<void> serveConnection(std::shared_ptr<Connection> Caller) {
+  co_await Caller->serve();
 }
 
 class CallerServerImpl final : public CallerServer {
@@ -298,6 +298,20 @@
       Socket->cancel(Ignored);
     }
   }
+  bool stopAccepting() override {
+    if (!Acceptor_.is_open())
+      return true;
+    Code Failure;
+    Acceptor_.non_blocking(true, Failure);
+    Tcp::socket Waiting(Acceptor_.get_executor());
+    Acceptor_.accept(Waiting, Failure);
+    if (!Failure) {
+      serve(std::move(Waiting));
+      return false;
+    }
+    Acceptor_.close(Failure);
+    return true;
+  }
   std::size_t connectionCount() const override { return State_->Open.size(); }
   std::size_t unreadCount() const override {
     return static_cast<std::size_t>(std::count_if(
@@ -318,16 +332,22 @@
         AcceptRetryTimer_.async_wait([this](Code) { accept(); });
         return;
       }
-      Code Ignored;
-      Socket.set_option(Tcp::no_delay(true), Ignored);
-      detectDeadPeer(Socket, DeadCallerTimeout);
-      const auto Executor = Socket.get_executor();
-      asio::co_spawn(Executor, serveConnection(State_, std::move(Socket)),
-                     asio::detached);
+      serve(std::move(Socket));
       accept();
     });
   }
 
+  void serve(Tcp::socket Socket) {
+    Code Ignored;
+    Socket.set_option(Tcp::no_delay(true), Ignored);
+    detectDeadPeer(Socket, DeadCallerTimeout);
+    const auto Executor = Socket.get_executor();
+    // Counted from now on, though the coroutine starts later.
+    auto Caller = std::make_shared<Connection>(State_, std::move(Socket));
+    asio::co_spawn(Executor, serveConnection(std::move(Caller)),
+                   asio::detached);
+  }
+
   std::shared_ptr<ServerState> State_;
   Tcp::acceptor Acceptor_;
   asio::steady_timer AcceptRetryTimer_{Acceptor_.get_executor()};
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -14,6 +14,9 @@
   /// Closes the connections that wait for a request. The others close after
   /// their answer if the process is stopping.
   virtual void closeIdle() = 0;
+  /// Closes the listening socket, unless a connection waits in its queue; that
+  /// one is served. Returns whether the socket is closed.
+  virtual bool stopAccepting() = 0;
   virtual std::size_t connectionCount() const = 0;
   /// Connections with bytes of their callers that were not read.
   virtual std::size_t unreadCount() const = 0;
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -411,6 +411,14 @@
                                       State_.now());
 }
 
+bool Exchange::canKeepConnection() {
+  if (!Request_.KeepAlive || !State_.Stopping)
+    return Request_.KeepAlive;
+  // The next request is already here and needs an answer too.
+  return Request_.IsFollowed ||
+         http::probeReadable(Caller_) == http::Readable::Bytes;
+}
+
 void Exchange::endUnanswered() {
   if (!AnswerStarted_)
     cancel(CancelReason::ShuttingDown);
@@ -481,7 +489,7 @@
   Code Ignored;
   Caller_.cancel(Ignored);
   State_.ActiveRequests.erase(this);
-  co_return AnswerComplete_ &&Request_.KeepAlive && !State_.Stopping;
+  co_return AnswerComplete_ &&Request_.KeepAlive;
 }
 
 void endUnansweredRequests(GatewayState &State) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -14,6 +14,7 @@
   bool HasBody = false;
   bool IsHttp10 = false; ///< does not accept chunked answers
   bool KeepAlive = true;
+  bool IsFollowed = false; ///< bytes of the next request arrived with it
   TimePoint ReceivedAt;
 };
 
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -15,14 +15,14 @@
 
 } // namespace
 
-AnswerHead Exchange::makeAnswerHead(const ResponseParser &Parser) const {
+AnswerHead Exchange::makeAnswerHead(const ResponseParser &Parser) {
   AnswerHead Result;
   Result.Status = static_cast<int>(Parser.get().result_int());
   Result.Reason = std::string(Parser.get().reason());
   Result.Fields = endToEndFields(Parser.get());
   Result.HasBody =
       Request_.Method != "HEAD" && Result.Status != 204 && Result.Status != 304;
-  Result.KeepAlive = Request_.KeepAlive && !State_.Stopping;
+  Result.KeepAlive = canKeepConnection();
   const auto Length = Parser.content_length();
   if (Length) {
     Result.Length = *Length;
@@ -35,7 +35,7 @@
   return Result;
 }
 
-AnswerHead Exchange::makeStreamHead(const ResponseParser &Parser) const {
+AnswerHead Exchange::makeStreamHead(const ResponseParser &Parser) {
   AnswerHead Result = makeAnswerHead(Parser);
   Result.Body = Request_.IsHttp10 ? Framing::Close : Framing::Chunked;
   if (Request_.IsHttp10)
@@ -43,7 +43,7 @@
   return Result;
 }
 
-bool Exchange::carriesEvents(const ResponseParser &Parser) const {
+bool Exchange::carriesEvents(const ResponseParser &Parser) {
   static constexpr std::string_view EventStream = "text/event-stream";
   if (!makeAnswerHead(Parser).HasBody)
     return false;
@@ -257,7 +257,8 @@
   Answer.Status = Status;
   Answer.AttemptId = RequestHead_.AttemptId;
   Answer.RetryAfter = RetryAfter;
-  Answer.KeepAlive = Request_.KeepAlive && !State_.Stopping;
+  Request_.KeepAlive = canKeepConnection();
+  Answer.KeepAlive = Request_.KeepAlive;
   Answer.HasBody = Request_.Method != "HEAD";
   Answer.Message = std::move(Reason);
   AnswerComplete_ =
@@ -273,7 +274,8 @@
     co_return; // closing the connection marks the answer as incomplete
   }
   if (BufferedAnswer_) {
-    BufferedAnswer_->Head.KeepAlive = Request_.KeepAlive && !State_.Stopping;
+    BufferedAnswer_->Head.KeepAlive =
+        BufferedAnswer_->Head.KeepAlive && canKeepConnection();
     std::string Bytes = formatAnswerHead(BufferedAnswer_->Head);
     if (BufferedAnswer_->Head.HasBody)
       Bytes += BufferedAnswer_->Body;
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -194,11 +194,13 @@
   void recordInterruption(const EndpointRef &Endpoint);
   /// Records the time since the last piece of a stream.
   void recordTokenGap();
-  AnswerHead makeAnswerHead(const ResponseParser &Parser) const;
+  /// Whether an answer that starts now leaves the caller's connection open.
+  bool canKeepConnection();
+  AnswerHead makeAnswerHead(const ResponseParser &Parser);
   /// Head of a stream. Its length is not stated, since it may be resumed.
-  AnswerHead makeStreamHead(const ResponseParser &Parser) const;
+  AnswerHead makeStreamHead(const ResponseParser &Parser);
   /// Whether the answer is a stream of events.
-  bool carriesEvents(const ResponseParser &Parser) const;
+  bool carriesEvents(const ResponseParser &Parser);
   /// Whether the stream that `Parser` has read to its end is whole.
   /// `HasEvents`: the caller got or gets some.
   bool isWholeStream(const ResponseParser &Parser, bool HasEvents) const;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -383,7 +383,8 @@
     if (Elapsed < BalancerDelay)
       return;
     Callers_->closeIdle();
-    if (State_.ActiveRequests.empty())
+    // A request may be arriving on any connection that is still open.
+    if (Callers_->connectionCount() == 0 && Callers_->stopAccepting())
       Context_.stop();
   }
 
