Take only answers that bear the id of the request

Callers were told "not run, try again" for requests that a replica had run or was running, and such a request could run at a second replica (REFUSED, TWICE), when a faulty replica sent a refusal without an id ahead of its real answer. An answer without Attempt-Id matched every request, Not-Executed counted on every status, and a 408, 429 or 503 that does not say whether the request ran was passed on, though callers take it for a promise.

Answers must repeat the request's id; Not-Executed counts only with a status that refuses; a refusal with another answer behind it, or without the statement, is a failed attempt for requests that may not be repeated; a request without an id gets a connection of its own.

--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -1,6 +1,7 @@
 #include "gateway/exchange_internal.h"
 
 #include "cassiashed/balancing/first_byte_timeout.h"
+#include "gateway/endpoint_refusal.h"
 #include "http/peek.h"
 #include <array>
 #include <boost/asio/write.hpp>
@@ -84,8 +85,10 @@
 Exchange::openConnection(const EndpointRef &Endpoint) {
   EndpointConnectionPtr Connection;
   // A request that must not run twice gets a new connection: on a reused one, a
-  // reset does not show whether the request arrived.
-  if (Route_->isRetryable() && SentAttempts_ == 0)
+  // reset does not show whether the request arrived. So does a request without
+  // an id: its answer cannot be told from one to an earlier request.
+  if (Route_->isRetryable() && SentAttempts_ == 0 &&
+      !RequestHead_.AttemptId.empty())
     Connection = State_.Pool.takeIdle(Endpoint->Number, State_.now());
   if (!Connection) {
     const Duration Timeout = std::min(ConnectTimeout, remainingTime());
@@ -356,6 +359,20 @@
   });
 }
 
+http::Task<bool> Exchange::isFollowed(EndpointConnection &Connection,
+                                      ResponseParser &Parser) {
+  std::size_t Bytes = 0;
+  std::string Ignored;
+  while (!Parser.is_done() && Bytes <= MaxStaleAnswerBytes) {
+    const bool Read = co_await readPiece(Connection, Parser, Ignored);
+    if (!Read)
+      co_return false;
+    Bytes += Ignored.size();
+  }
+  co_return Connection.Buffer.size() != 0 ||
+      http::probeReadable(Connection.Socket) == http::Readable::Bytes;
+}
+
 http::Task<AttemptResult>
 Exchange::receive(const Dispatch &Chosen, EndpointConnectionPtr &Connection,
                   const std::shared_ptr<PendingWrite> &Sending) {
@@ -388,8 +405,7 @@
     const http::Headers Fields = endToEndFields(Parser->get());
     Answer = State_.Protocol.readEndpointHead(Status, Fields);
     // An answer to an earlier request may precede the one to this request.
-    Matches = Answer.AttemptId.empty() || RequestHead_.AttemptId.empty() ||
-              Answer.AttemptId == RequestHead_.AttemptId;
+    Matches = isAnswerTo(RequestHead_.AttemptId, Answer);
     while (!Matches && !Parser->is_done()) {
       std::string Ignored;
       const bool Read = co_await readPiece(*Connection, *Parser, Ignored);
@@ -410,7 +426,15 @@
   }
   const int Status = static_cast<int>(Parser->get().result_int());
   recordEndpointState(Endpoint, Answer);
-  if (Answer.NotRun || Answer.WrongEndpoint) {
+  if (provesNotRun(Status, Answer)) {
+    const bool IsContradicted =
+        !Route_->isRetryable() && co_await isFollowed(*Connection, *Parser);
+    if (IsContradicted) {
+      FailureCause_ = "another answer behind a refusal";
+      State_.recordOutcome(*Endpoint, EndpointOutcome::Broken);
+      MayHaveRun_ = true;
+      co_return AttemptResult::Failed;
+    }
     State_.recordOutcome(*Endpoint, Answer.WrongEndpoint
                                         ? EndpointOutcome::Unreachable
                                         : EndpointOutcome::Refused);
@@ -424,6 +448,12 @@
   }
   MayHaveRun_ = true;
   const bool Success = Status >= 200 && Status < 300;
+  if ((Success && Answer.SaysNotRun) ||
+      (promisesNotRun(Status) && !Route_->isRetryable())) {
+    FailureCause_ = "unclear whether the request ran";
+    State_.recordOutcome(*Endpoint, EndpointOutcome::Broken);
+    co_return AttemptResult::Failed;
+  }
   if (Success && !Answer.HasSignature) {
     FailureCause_ = "success without a signature";
     State_.recordOutcome(*Endpoint, EndpointOutcome::Broken);
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -150,6 +150,10 @@
   http::Task<AttemptResult>
   receive(const Dispatch &Chosen, EndpointConnectionPtr &Connection,
           const std::shared_ptr<PendingWrite> &Sending);
+  /// Reads the rest of an answer. Returns whether the endpoint has sent more
+  /// behind it.
+  http::Task<bool> isFollowed(EndpointConnection &Connection,
+                              ResponseParser &Parser);
   /// Keeps the state of an attempt whose endpoint is silent.
   void suspend(const EndpointRef &Endpoint, EndpointConnectionPtr Connection,
                std::unique_ptr<ResponseParser> Parser,
--- a/src/gateway/platform_protocol.h
+++ b/src/gateway/platform_protocol.h
@@ -45,10 +45,11 @@
 
 /// Decoded headers of an endpoint's response.
 struct EndpointHead {
-  bool NotRun = false;        ///< the endpoint did not execute the request
+  bool SaysNotRun = false;    ///< a header says that the request did not run
   bool WrongEndpoint = false; ///< the address belongs to another replica
   bool HasSignature = false;  ///< the service itself produced the response
-  std::string AttemptId;      ///< of the answered request; empty: unknown
+  std::string AttemptId; ///< of the answered request; empty: unknown, several
+                         ///< if the endpoint names more than one
   std::optional<Duration> ColdRemaining; ///< time until its warm-up ends
   bool IsLeaving = false;                ///< the endpoint is about to leave
   /// The endpoint accepts no request of this node for this long.
--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -32,12 +32,28 @@
     that takes S seconds), "unframed_events" (events that end with the
     connection), "unframed_cut" (the same, in the middle of an event),
     "unframed_reset" (the same, by a reset), "unframed_none" (no event),
-    "sized_cut" (a length that ends in the middle of an event). Bytes without
+    those of `DOUBTFUL`, "sized_cut" (a length that ends in the middle of an event). Bytes without
     end until the caller closes: "endless_head", "endless_event" (after two whole
     events), "dripped_event" (the same, byte by byte), "endless_foreign" (an
     answer to another request), "endless_body", "endless_extension" (of a chunk),
     "endless_trailer", "endless_interim" (answers of status 102)."""
 
+    # Answers that leave it open whether the request ran: status, fields, body, and
+    # whether the real answer follows.
+    DOUBTFUL = {
+        "stray_refusal": ("503 Busy", ["Not-Executed: 1"], b"", True),
+        "stray_misdirected": ("421 Misdirected", [], b"", True),
+        "stray_answer": ("200 OK", ["Response-Signature: {replica}"], b"another", True),
+        "two_ids": ("503 Busy", ["Attempt-Id: {id}", "Attempt-Id: another", "Not-Executed: 1"], b"", True),
+        "refused_and_answered": ("503 Busy", ["Attempt-Id: {id}", "Not-Executed: 1"], b"busy", True),
+        "refused_success": ("200 OK", ["Attempt-Id: {id}", "Response-Signature: {replica}", "Not-Executed: 1"],
+                            b"whole body", False),
+        "refused_error": ("500 Failed", ["Attempt-Id: {id}", "Response-Signature: {replica}", "Not-Executed: 1"],
+                          b"failed", False),
+        "bare_503": ("503 Busy", ["Attempt-Id: {id}", "Response-Signature: {replica}"], b"busy", False),
+        "bare_429": ("429 Busy", ["Attempt-Id: {id}", "Response-Signature: {replica}"], b"busy", False),
+        "bare_408": ("408 Late", ["Attempt-Id: {id}", "Response-Signature: {replica}"], b"late", False),
+    }
     # After so much, a sender without end only waits.
     MOST_WITHOUT_END = 64 << 20
 
@@ -87,7 +103,7 @@
                     continue
                 behaviour = self.script.pop(0) if len(self.script) > 1 else self.script[0]
                 self.requests.append({"method": method, "target": target, "fields": fields,
-                                      "body": body, "behaviour": behaviour})
+                                      "body": body, "behaviour": behaviour, "port": connection.getpeername()[1]})
                 if not self._answer(connection, fields, behaviour):
                     return
         except OSError:
@@ -135,6 +151,11 @@
             connection.sendall(self._head("503 Busy", fields, ["Not-Executed: 1", "Content-Length: 0"]))
         elif behaviour == "unsigned":
             connection.sendall(self._head("200 OK", fields, ["Content-Length: 2"]) + b"no")
+        elif behaviour in self.DOUBTFUL:
+            status, extra, body, follows = self.DOUBTFUL[behaviour]
+            lines = [f"HTTP/1.1 {status}", *extra, f"Content-Length: {len(body)}"]
+            text = "\r\n".join(lines).format(id=fields.get("attempt-id"), replica=self.identity)
+            connection.sendall(text.encode() + b"\r\n\r\n" + body + (self._whole(fields) if follows else b""))
         elif behaviour == "cut_head":
             connection.sendall(self._whole(fields)[:30])
             return False
