--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -63,6 +63,7 @@
   std::shared_ptr<PendingWrite> Sending;
   EventAssembler Events; ///< with the begin of an event, if it is inside one
   std::shared_ptr<Reservations> Memory;
+  std::optional<asio::steady_timer> PeekTimer;
 
   ~SuspendedAttempt() {
     if (Memory)
@@ -164,6 +165,7 @@
   /// Ends the attempt that should replace the suspended one if that one sends
   /// again first.
   void watchSuspended();
+  void checkSuspended();
   /// Records the result of an attempt and keeps its connection for others.
   void finishAttempt(const EndpointRef &Endpoint, AttemptResult Result,
                      EndpointConnectionPtr Connection,
--- a/src/gateway/exchange_suspended.cpp
+++ b/src/gateway/exchange_suspended.cpp
@@ -1,8 +1,28 @@
 #include "gateway/exchange_internal.h"
 
 #include "http/peek.h"
+#include <array>
 
 namespace cassiashed::gateway {
+namespace {
+
+constexpr std::size_t PeekBytes = 16 * 1024;
+/// How often bytes that complete no event are looked at again.
+constexpr Duration PeekPeriod{50};
+
+/// Whether the unread bytes complete an event or the stream. Bytes alone may
+/// belong to an event that never ends.
+bool hasEventEnd(Tcp::socket &Socket) {
+  std::array<char, PeekBytes> Bytes{};
+  Code Failure;
+  const std::size_t Count =
+      Socket.receive(asio::buffer(Bytes), Tcp::socket::message_peek, Failure);
+  const std::string_view Text(Bytes.data(), Failure ? 0 : Count);
+  return Text.find("\n\n") != std::string_view::npos ||
+         Text.find("\r\n\r\n") != std::string_view::npos;
+}
+
+} // namespace
 
 void Exchange::suspend(const EndpointRef &Endpoint,
                        EndpointConnectionPtr Connection,
@@ -25,21 +45,35 @@
   Suspended_->Connection->Socket.async_wait(
       Tcp::socket::wait_read, [Weak](Code Failure) {
         const auto Self = Weak.lock();
-        if (!Self || Failure || !Self->Suspended_)
-          return;
-        if (http::probeReadable(Self->Suspended_->Connection->Socket) !=
-            http::Readable::Bytes)
-          return;
-        Self->SuspendedSendsAgain_ = true;
-        Code Ignored;
-        if (Self->ActiveConnection_)
-          Self->ActiveConnection_->Socket.close(Ignored);
+        if (Self && !Failure && Self->Suspended_)
+          Self->checkSuspended();
       });
 }
 
+void Exchange::checkSuspended() {
+  Tcp::socket &Socket = Suspended_->Connection->Socket;
+  if (http::probeReadable(Socket) != http::Readable::Bytes)
+    return;
+  if (hasEventEnd(Socket)) {
+    SuspendedSendsAgain_ = true;
+    Code Ignored;
+    if (ActiveConnection_)
+      ActiveConnection_->Socket.close(Ignored);
+    return;
+  }
+  std::weak_ptr<Exchange> Weak = weak_from_this();
+  Suspended_->PeekTimer.emplace(State_.Context, PeekPeriod);
+  Suspended_->PeekTimer->async_wait([Weak](Code Failure) {
+    const auto Self = Weak.lock();
+    if (Self && !Failure && Self->Suspended_)
+      Self->checkSuspended();
+  });
+}
+
 http::Task<AttemptResult> Exchange::resumeSuspended() {
   const std::unique_ptr<SuspendedAttempt> Attempt = std::move(Suspended_);
   const EndpointRef Endpoint = Attempt->Endpoint;
+  Attempt->PeekTimer.reset();
   Code Ignored; // ends watchSuspended()
   Attempt->Connection->Socket.cancel(Ignored);
   SuspendedSendsAgain_ = false;
