Skip interim answers in the HTTP client

A peer may send answers of status 1xx before the final one (RFC 9110, section 15.2). ClientStream::readHead returned the first of them as the answer, with an empty body. The older node passed a 103 of a service on to the caller as its answer and dropped the one that followed (service_sender.cpp), took a 1xx for the success of a transfer of KV memory (kv_transfer.cpp), and an attempt at an engine ended as lost. A gateway took it for a store that is out of reach or for a refused reservation. The path of a gateway's requests to replicas has a reader of its own and skips them already.

readHead now reads until the final head, within the one timeout of the call.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -27,9 +27,7 @@
 class ClientStreamImpl final : public ClientStream {
 public:
   ClientStreamImpl(asio::any_io_executor Executor, ClientOptions Options)
-      : Stream_(std::move(Executor)), Options_(Options), Buffer_(PieceBytes) {
-    Parser_.body_limit(MaxStreamBytes);
-  }
+      : Stream_(std::move(Executor)), Options_(Options), Buffer_(PieceBytes) {}
 
   Task<bool> connect(Address Peer) override {
     Peer_ = std::move(Peer);
@@ -76,17 +74,24 @@
 
   Task<std::optional<Response>> readHead(Duration Timeout) override {
     Stream_.expires_after(Timeout);
-    Code Failure;
-    co_await bhttp::async_read_header(Stream_, Buffer_, Parser_,
-                                      intoCode(Failure));
-    if (Failure) {
-      Failure_ = Failure == beast::error::timeout ? ClientFailure::TimedOut
-                                                  : ClientFailure::NotAnswered;
-      co_return std::nullopt;
-    }
+    // Interim answers precede the final one.
+    do {
+      Parser_.emplace();
+      Parser_->body_limit(MaxStreamBytes);
+      Code Failure;
+      co_await bhttp::async_read_header(Stream_, Buffer_, *Parser_,
+                                        intoCode(Failure));
+      if (Failure) {
+        Failure_ = Failure == beast::error::timeout
+                       ? ClientFailure::TimedOut
+                       : ClientFailure::NotAnswered;
+        co_return std::nullopt;
+      }
+    } while (bhttp::to_status_class(Parser_->get().result_int()) ==
+             bhttp::status_class::informational);
     Response Head;
-    Head.Status = static_cast<int>(Parser_.get().result_int());
-    for (const auto &Field : Parser_.get())
+    Head.Status = static_cast<int>(Parser_->get().result_int());
+    for (const auto &Field : Parser_->get())
       Head.Fields.emplace_back(std::string(Field.name_string()),
                                std::string(Field.value()));
     co_return Head;
@@ -94,19 +99,19 @@
 
   Task<std::optional<std::string>> readSome(Duration Timeout) override {
     std::array<char, PieceBytes> Piece; // NOLINT: filled by the parser
-    while (!Parser_.is_done()) {
-      Parser_.get().body().data = Piece.data();
-      Parser_.get().body().size = Piece.size();
+    while (!Parser_->is_done()) {
+      Parser_->get().body().data = Piece.data();
+      Parser_->get().body().size = Piece.size();
       Stream_.expires_after(Timeout);
       Code Failure;
-      co_await bhttp::async_read_some(Stream_, Buffer_, Parser_,
+      co_await bhttp::async_read_some(Stream_, Buffer_, *Parser_,
                                       intoCode(Failure));
       if (Failure && Failure != bhttp::error::need_buffer) {
         Failure_ = Failure == beast::error::timeout ? ClientFailure::TimedOut
                                                     : ClientFailure::Truncated;
         co_return std::nullopt;
       }
-      const std::size_t Count = Piece.size() - Parser_.get().body().size;
+      const std::size_t Count = Piece.size() - Parser_->get().body().size;
       if (Count > 0)
         co_return std::string(Piece.data(), Count);
     }
@@ -132,7 +137,8 @@
   ClientOptions Options_;
   Address Peer_;
   beast::flat_buffer Buffer_;
-  bhttp::response_parser<bhttp::buffer_body> Parser_;
+  /// Of the answer; set by `readHead`.
+  std::optional<bhttp::response_parser<bhttp::buffer_body>> Parser_;
   ClientFailure Failure_ = ClientFailure::None;
 };
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -41,7 +41,8 @@
   /// Connects and sends the request. Returns false on failure.
   virtual Task<bool> start(Address Peer, Request Message) = 0;
 
-  /// Reads status and headers.
+  /// Reads status and headers of the final answer; interim answers (1xx) are
+  /// skipped. Must succeed before the body is read.
   virtual Task<std::optional<Response>> readHead(Duration Timeout) = 0;
 
   /// Reads the next piece of the body; an empty string at its end. At most
