Test answers of replicas with cut and unusual heads

On the unchanged gateway no case is relayed as whole: HTTP/1.0 heads, folded fields, chunked answers without a chunk and heads with bare line feeds give 502 at every byte, and a stream whose continuation has a cut head looks incomplete.

The stand-in gets a behaviour that sends the bytes of the test.

--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -32,6 +32,7 @@
     that takes S seconds), "unframed_events" (events that end with the
     connection), "unframed_cut" (the same, in the middle of an event),
     "unframed_reset" (the same, by a reset), "unframed_none" (no event),
+    "raw" (the bytes of `raw`, then a close),
     those of `DOUBTFUL`, "sized_cut" (a length that ends in the middle of an event). Bytes without
     end until the caller closes: "endless_head", "endless_event" (after two whole
     events), "dripped_event" (the same, byte by byte), "endless_foreign" (an
@@ -67,6 +68,7 @@
         self.endless_calls = False  # orders and reports are answered without end
         self.has_memory = True  # whether memory can be reserved
         self.event_pause = 0.02
+        self.raw = lambda fields: b""  # the bytes of "raw", by the request's fields
         self.extra_fields = []  # lines of every answer's head
         self.sent_without_end = 0  # bytes, by the behaviours that never end
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
@@ -159,6 +161,9 @@
         elif behaviour == "cut_head":
             connection.sendall(self._whole(fields)[:30])
             return False
+        elif behaviour == "raw":
+            connection.sendall(self.raw(fields))
+            return False
         elif behaviour == "truncate":
             connection.sendall(self._whole(fields)[:-4])
             return False
