Test that no part of a batch of rows is read as a batch

Guards against an answer cut short that is taken for a whole table, which would remove the rows that it lacks. No part is: the test passes on the unchanged code.

--- a/src/gateway/message_formats_test.cpp
+++ b/src/gateway/message_formats_test.cpp
@@ -98,6 +98,18 @@
   CHECK(Rows->Rows.front().Removed);
 }
 
+// Guards against a part of a batch that is taken for a whole table, which would
+// remove the rows that it lacks.
+TEST_CASE("no part of a batch of rows is a batch") {
+  const std::string Whole =
+      packRows({0, 3, {{"a", "v", 2, false}, {"b", "w", 3, false}}, true});
+  for (std::size_t Size = 0; Size < Whole.size(); ++Size) {
+    std::string Reason;
+    CAPTURE(Size);
+    CHECK_FALSE(unpackRows(std::string_view(Whole).substr(0, Size), Reason));
+  }
+}
+
 // Guards against an out-of-range failure code in a forged answer: nameOf()
 // would read past the table of names.
 TEST_CASE("answers of placers with values out of range are refused") {
