Keep connections whose peers only keep their window closed

Callers that read nothing of a large answer for 12 s got a reset, and a non-idempotent request whose endpoint began to read the body after 5 s was answered 502. TCP_USER_TIMEOUT, 10 s at callers and 3 s at endpoints, also counts the time in which a peer acknowledges every probe and keeps its window closed.

Once a second the gateway reads TCP_INFO of its connections and raises the limit of those whose window is closed, whose probes are answered and which have acknowledged something within their limit. All others keep their limit, and where TCP_INFO is missing nothing changes. The kernel still ends the connection, within twice the limit of the peer's last sign behind a closed window.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -7,6 +7,7 @@
 #include "gateway/row_follower.h"
 #include "gateway/row_messages.h"
 #include "gateway/shared_placement.h"
+#include "http/peer_limits.h"
 #include "http/server.h"
 #include <boost/asio/signal_set.hpp>
 #include <charconv>
@@ -330,6 +331,7 @@
     if (Now - LastHousekeeping_ >= HousekeepingPeriod) {
       LastHousekeeping_ = Now;
       State_.Pool.closeExpired(Now);
+      http::extendPeerLimits();
     }
     if (Now - LastSettingsCheck_ >= SettingsCheckPeriod) {
       LastSettingsCheck_ = Now;
--- a/src/http/dead_peer.cpp
+++ b/src/http/dead_peer.cpp
@@ -1,5 +1,6 @@
 #include "http/dead_peer.h"
 
+#include "http/peer_limits.h"
 #include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -22,7 +23,7 @@
   setOption(Handle, IPPROTO_TCP, TCP_KEEPIDLE, 1);
   setOption(Handle, IPPROTO_TCP, TCP_KEEPINTVL, 1);
   setOption(Handle, IPPROTO_TCP, TCP_KEEPCNT, std::max(1, Seconds - 1));
-  setOption(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, Seconds * 1000);
+  limitPeerSilence(Handle, Limit);
 }
 
 } // namespace cassiashed::http
--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -3,8 +3,10 @@
 Each request is recorded; `script` decides what it gets, in turn; the last
 entry repeats."""
 
+import ctypes
 import json
 import socket
+import struct
 import threading
 import time
 
@@ -23,13 +25,20 @@
         fields[name.lower()] = value.strip()
 
 
+def drop_packets(connection):
+    """From now on the kernel drops what arrives for the socket and acknowledges none of it."""
+    instruction = ctypes.create_string_buffer(struct.pack("=HBBI", 0x06, 0, 0, 0))  # BPF_RET 0
+    program = struct.pack("@HP", 1, ctypes.addressof(instruction))
+    connection.setsockopt(socket.SOL_SOCKET, 26, program)  # SO_ATTACH_FILTER
+
+
 class Replica:
     """Behaviours of `script`: "ok", "events", "cut" (in the middle of an event),
     "reset" (after the request was read), "refuse" (not run), "truncate",
     "unsigned", "cut_head" (closes in the middle of its answer's head), "foreign"
     (an answer to another request first), "mute", "error" (its own 500), "unframed" (ends with its connection), "late:S" (events
     after S seconds), "pause:S" (S seconds between two events), "slow:S" (a body
-    that takes S seconds), "unframed_events" (events that end with the
+    that takes S seconds), "large" (a body of 16 MiB), "unframed_events" (events that end with the
     connection), "unframed_cut" (the same, in the middle of an event),
     "unframed_reset" (the same, by a reset), "unframed_none" (no event),
     those of `DOUBTFUL`, "sized_cut" (a length that ends in the middle of an event). Bytes without
@@ -67,12 +76,18 @@
         self.endless_calls = False  # orders and reports are answered without end
         self.has_memory = True  # whether memory can be reserved
         self.event_pause = 0.02
+        self.body_pause = 0  # seconds before the body of a request is read
+        self.gone_after = None  # seconds after a head from which on the machine gives no sign
         self.extra_fields = []  # lines of every answer's head
         self.sent_without_end = 0  # bytes, by the behaviours that never end
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
+    def limit_receive_buffer(self, size):
+        """Of connections that are accepted from now on."""
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
     def entry(self, service, state="ready", **changes):
         return {"service": service, "address": f"127.0.0.1:{self.port}", "zone": "za", "version": "v1",
                 "slots": 16, "state": state, "coldRemainingMs": 0, "sequence": 1, "born": 1000, **changes}
@@ -97,6 +112,10 @@
                     self.closed_by_caller.set()
                     return
                 (method, target, _), fields = head
+                if self.gone_after is not None:
+                    time.sleep(self.gone_after)
+                    drop_packets(connection)
+                time.sleep(self.body_pause)
                 body = reader.read(int(fields.get("content-length", 0)))
                 if target in ("/order", "/report"):
                     self._answer_engine_call(connection, target, body)
@@ -143,6 +162,8 @@
         """Returns whether the connection stays open."""
         if behaviour == "ok":
             connection.sendall(self._whole(fields))
+        elif behaviour == "large":
+            connection.sendall(self._whole(fields, b"x" * (16 << 20)))
         elif behaviour == "error":
             connection.sendall(self._whole(fields, b"failed", status="500 Internal Server Error"))
         elif behaviour == "foreign":
