Keep answers that the review saw given up

The suspended attempt is now resumed as long as no other attempt may follow. - The second endpoint of a broken stream was abandoned before its head for a third one that refused. It is kept unless a suspended attempt is left. - While a gateway stopped, a long answer said Connection: close in its head; a request that arrived before its end was dropped. Only answers that are sent whole say so now. - A refusal is checked for an answer behind it without waiting for its body.

Evidence: on two of the three new tests of gateway_silence_test fail (removed key, third endpoint), and both crossing tests of gateway_kept_connections_test (1 answer instead of 2).

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -180,7 +180,12 @@
     return;
   }
   if (Now >= EndpointDeadline_ && ActiveConnection_) {
-    if (AnswerStarted_ ? canResumeElsewhere() : canRetryElsewhere())
+    // An attempt that should continue a broken stream is the only one left,
+    // also before its head has arrived.
+    const bool CanGoOnElsewhere =
+        AnswerStarted_ ? (IsRelaying_ || Suspended_) && canResumeElsewhere()
+                       : canRetryElsewhere();
+    if (CanGoOnElsewhere)
       abandonEndpoint();
     else
       EndpointDeadline_ = Now + SilenceCheckPeriod;
@@ -209,7 +214,7 @@
 }
 
 bool Exchange::canResumeElsewhere() {
-  return isAnswerResumable() && allowsAnotherAttempt() &&
+  return isAnswerResumable() && allowsAnotherAttempt() && isKeyStillValid() &&
          State_.Retries.canSpendRetry(Service_->Name, State_.sharingNodes(),
                                       State_.now()) &&
          canRetryElsewhere();
@@ -456,7 +461,7 @@
           Last = co_await attempt(Chosen);
           Retry = !SuspendedSendsAgain_ && shouldRetry(Last);
         }
-        if (!Retry && Suspended_) {
+        while (!Retry && Suspended_) {
           Last = co_await resumeSuspended();
           Retry = shouldRetry(Last);
         }
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -15,14 +15,14 @@
 
 } // namespace
 
-AnswerHead Exchange::makeAnswerHead(const ResponseParser &Parser) {
+AnswerHead Exchange::makeAnswerHead(const ResponseParser &Parser) const {
   AnswerHead Result;
   Result.Status = static_cast<int>(Parser.get().result_int());
   Result.Reason = std::string(Parser.get().reason());
   Result.Fields = endToEndFields(Parser.get());
   Result.HasBody =
       Request_.Method != "HEAD" && Result.Status != 204 && Result.Status != 304;
-  Result.KeepAlive = canKeepConnection();
+  Result.KeepAlive = Request_.KeepAlive;
   const auto Length = Parser.content_length();
   if (Length) {
     Result.Length = *Length;
@@ -35,7 +35,7 @@
   return Result;
 }
 
-AnswerHead Exchange::makeStreamHead(const ResponseParser &Parser) {
+AnswerHead Exchange::makeStreamHead(const ResponseParser &Parser) const {
   AnswerHead Result = makeAnswerHead(Parser);
   Result.Body = Request_.IsHttp10 ? Framing::Close : Framing::Chunked;
   if (Request_.IsHttp10)
@@ -43,7 +43,7 @@
   return Result;
 }
 
-bool Exchange::carriesEvents(const ResponseParser &Parser) {
+bool Exchange::carriesEvents(const ResponseParser &Parser) const {
   static constexpr std::string_view EventStream = "text/event-stream";
   if (!makeAnswerHead(Parser).HasBody)
     return false;
@@ -65,11 +65,12 @@
   return HasFraming || HasEvents || !RequestHead_.LastEventId.empty();
 }
 
-void Exchange::beginAnswer(Framing Body) {
+std::string Exchange::beginAnswer(const AnswerHead &Head) {
   AnswerStarted_ = true;
   Code Ignored;
-  if (Body == Framing::Close)
+  if (Head.Body == Framing::Close)
     Caller_.set_option(asio::socket_base::linger(true, 0), Ignored);
+  return formatAnswerHead(Head);
 }
 
 void Exchange::endAnswer(const AnswerHead &Head) {
@@ -145,17 +146,16 @@
     if (Complete)
       Output += Events_.incompleteEvent();
     std::string Bytes;
-    if (!AnswerStarted_ && (!Output.empty() || Complete)) {
-      Bytes = formatAnswerHead(AnswerHead_);
-      beginAnswer(AnswerHead_.Body);
-    }
+    if (!AnswerStarted_ && (!Output.empty() || Complete))
+      Bytes = beginAnswer(AnswerHead_);
     if (!Output.empty())
       Bytes +=
           AnswerHead_.Body == Framing::Chunked ? formatChunk(Output) : Output;
     if (Complete && AnswerHead_.Body == Framing::Chunked)
       Bytes += LastChunk;
-    if (!Bytes.empty()) {
+    if (!Output.empty() || Complete)
       Suspended_.reset();
+    if (!Bytes.empty()) {
       recordTokenGap();
       setEndpointDeadline(TimePoint::max());
       const bool Written = co_await writeToCaller(std::move(Bytes));
@@ -206,9 +206,8 @@
                             : AttemptResult::Answered;
   }
   // Too large to buffer: passed on as it comes.
-  beginAnswer(Answer.Head.Body);
   setEndpointDeadline(TimePoint::max());
-  std::string Bytes = formatAnswerHead(Answer.Head);
+  std::string Bytes = beginAnswer(Answer.Head);
   Bytes += Answer.Head.Body == Framing::Chunked ? formatChunk(Answer.Body)
                                                 : Answer.Body;
   std::size_t SentBytes = Answer.Body.size();
@@ -274,12 +273,11 @@
     co_return; // closing the connection marks the answer as incomplete
   }
   if (BufferedAnswer_) {
-    BufferedAnswer_->Head.KeepAlive =
-        BufferedAnswer_->Head.KeepAlive && canKeepConnection();
-    std::string Bytes = formatAnswerHead(BufferedAnswer_->Head);
+    AnswerHead &Head = BufferedAnswer_->Head;
+    Head.KeepAlive = Head.KeepAlive && canKeepConnection();
+    std::string Bytes = beginAnswer(Head);
     if (BufferedAnswer_->Head.HasBody)
       Bytes += BufferedAnswer_->Body;
-    beginAnswer(BufferedAnswer_->Head.Body);
     const bool Written = co_await writeToCaller(std::move(Bytes));
     if (Written)
       endAnswer(BufferedAnswer_->Head);
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -25,6 +25,15 @@
 constexpr int UrgentPriority = 3;
 constexpr int NonUrgentPriority = 8;
 
+/// Whether the endpoint has sent more than the answer whose head was read.
+bool isFollowed(EndpointConnection &Connection, const ResponseParser &Parser) {
+  const auto Length = Parser.content_length();
+  Code Ignored;
+  return Length &&
+         Connection.Buffer.size() + Connection.Socket.available(Ignored) >
+             *Length;
+}
+
 } // namespace
 
 std::string_view nameOf(AttemptResult Result) {
@@ -308,6 +317,7 @@
                     });
   AttemptResult Result = co_await receive(Chosen, Connection, Sending);
   ActiveConnection_ = nullptr;
+  IsRelaying_ = false;
   setEndpointDeadline(TimePoint::max());
   Connection.reset();
   finishWork();
@@ -359,20 +369,6 @@
   });
 }
 
-http::Task<bool> Exchange::isFollowed(EndpointConnection &Connection,
-                                      ResponseParser &Parser) {
-  std::size_t Bytes = 0;
-  std::string Ignored;
-  while (!Parser.is_done() && Bytes <= MaxStaleAnswerBytes) {
-    const bool Read = co_await readPiece(Connection, Parser, Ignored);
-    if (!Read)
-      co_return false;
-    Bytes += Ignored.size();
-  }
-  co_return Connection.Buffer.size() != 0 ||
-      http::probeReadable(Connection.Socket) == http::Readable::Bytes;
-}
-
 http::Task<AttemptResult>
 Exchange::receive(const Dispatch &Chosen, EndpointConnectionPtr &Connection,
                   const std::shared_ptr<PendingWrite> &Sending) {
@@ -427,9 +423,7 @@
   const int Status = static_cast<int>(Parser->get().result_int());
   recordEndpointState(Endpoint, Answer);
   if (provesNotRun(Status, Answer)) {
-    const bool IsContradicted =
-        !Route_->isRetryable() && co_await isFollowed(*Connection, *Parser);
-    if (IsContradicted) {
+    if (!Route_->isRetryable() && isFollowed(*Connection, *Parser)) {
       FailureCause_ = "another answer behind a refusal";
       State_.recordOutcome(*Endpoint, EndpointOutcome::Broken);
       MayHaveRun_ = true;
@@ -465,6 +459,7 @@
       AnswerHead_ = makeStreamHead(*Parser);
     RelaysEvents_ = true;
     recordFirstByte(Chosen);
+    IsRelaying_ = true;
     Result = co_await relayStream(*Connection, *Parser);
   } else {
     if (AnswerStarted_)
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -151,10 +151,6 @@
   http::Task<AttemptResult>
   receive(const Dispatch &Chosen, EndpointConnectionPtr &Connection,
           const std::shared_ptr<PendingWrite> &Sending);
-  /// Reads the rest of an answer. Returns whether the endpoint has sent more
-  /// behind it.
-  http::Task<bool> isFollowed(EndpointConnection &Connection,
-                              ResponseParser &Parser);
   /// Keeps the state of an attempt whose endpoint is silent.
   void suspend(const EndpointRef &Endpoint, EndpointConnectionPtr Connection,
                std::unique_ptr<ResponseParser> Parser,
@@ -200,20 +196,22 @@
   void recordInterruption(const EndpointRef &Endpoint);
   /// Records the time since the last piece of a stream.
   void recordTokenGap();
-  /// Whether an answer that starts now leaves the caller's connection open.
+  /// Whether an answer that is sent whole now leaves the caller's connection
+  /// open. An answer that takes longer always does, since requests may arrive
+  /// until its end.
   bool canKeepConnection();
-  AnswerHead makeAnswerHead(const ResponseParser &Parser);
+  AnswerHead makeAnswerHead(const ResponseParser &Parser) const;
   /// Head of a stream. Its length is not stated, since it may be resumed.
-  AnswerHead makeStreamHead(const ResponseParser &Parser);
+  AnswerHead makeStreamHead(const ResponseParser &Parser) const;
   /// Whether the answer is a stream of events.
-  bool carriesEvents(const ResponseParser &Parser);
+  bool carriesEvents(const ResponseParser &Parser) const;
   /// Whether the stream that `Parser` has read to its end is whole.
   /// `HasEvents`: the caller got or gets some.
   bool isWholeStream(const ResponseParser &Parser, bool HasEvents) const;
-  /// Call before the first bytes of an answer go to the caller. Until
+  /// Returns the bytes of the head, with which the answer begins. Until
   /// `endAnswer`, the end of an answer that is framed by its connection shows
   /// as a reset, even if this process is killed.
-  void beginAnswer(Framing Body);
+  std::string beginAnswer(const AnswerHead &Head);
   /// Call when the whole answer was written.
   void endAnswer(const AnswerHead &Head);
 
@@ -254,6 +252,7 @@
   EndpointConnection *ActiveConnection_ = nullptr;
   std::unique_ptr<SuspendedAttempt> Suspended_;
   bool SuspendedSendsAgain_ = false;
+  bool IsRelaying_ = false; ///< the current attempt sends events
 
   std::shared_ptr<Reservations> Reservations_;
   std::vector<ReservationPlan> ReservationPlans_;
--- a/src/gateway/exchange_suspended.cpp
+++ b/src/gateway/exchange_suspended.cpp
@@ -81,6 +81,7 @@
   Reservations_ = std::move(Attempt->Memory);
   ActiveConnection_ = Attempt->Connection.get();
   EndpointTimedOut_ = false;
+  IsRelaying_ = true;
   FailureCause_.clear();
   State_.Log.write("attempt_resumed", State_.now(), [&](LogLine &Line) {
     Line.field("id", RequestHead_.AttemptId)
@@ -89,6 +90,7 @@
   const AttemptResult Result =
       co_await relayStream(*Attempt->Connection, *Attempt->Parser);
   ActiveConnection_ = nullptr;
+  IsRelaying_ = false;
   setEndpointDeadline(TimePoint::max());
   logAttemptEnd(Endpoint, Result);
   if (Result == AttemptResult::Suspended)
