Pass only events that continue a broken stream

Callers got the text of another answer, or events for the second time, in the middle of a stream, or a stream that ended as complete without its rest.

The answer to a resumed request was checked for its status, signature and type, and for ending between events, but not for continuing the events that the caller had. StreamContinuity now compares ids: after a break an event passes only if its id is a greater whole number, and the next one where all ids so far were consecutive. A continuation without any event does not end the stream, a stream without increasing ids is not resumed, and a first answer does not repeat events up to the caller's Last-Event-Id on resumable routes. A refused answer counts as a broken one.

The id of the last event moves from EventAssembler to StreamContinuity, and its check in message_formats_test.cpp with it, unchanged in strictness.

--- a/src/gateway/event_assembler.cpp
+++ b/src/gateway/event_assembler.cpp
@@ -32,27 +32,7 @@
   std::string Complete = Pending_.substr(0, End);
   Pending_.erase(0, End);
   SearchedBytes_ = 0;
-  updateLastId(Complete);
   return Complete;
 }
 
-void EventAssembler::updateLastId(std::string_view Events) {
-  std::size_t Begin = 0;
-  while (Begin < Events.size()) {
-    std::size_t End = Events.find('\n', Begin);
-    if (End == std::string_view::npos)
-      End = Events.size();
-    std::string_view Line = Events.substr(Begin, End - Begin);
-    if (Line.ends_with('\r'))
-      Line.remove_suffix(1);
-    if (Line.starts_with("id:")) {
-      Line.remove_prefix(3);
-      if (Line.starts_with(' '))
-        Line.remove_prefix(1);
-      LastId_ = Line;
-    }
-    Begin = End + 1;
-  }
-}
-
 } // namespace cassiashed::gateway
--- a/src/gateway/event_assembler.h
+++ b/src/gateway/event_assembler.h
@@ -11,7 +11,7 @@
 /// ```cpp
 /// EventAssembler Events;
 /// send(Events.append(Bytes)); // whole events only
-/// resumeAfter(Events.lastId());
+/// const bool Whole = !Events.isInsideEvent(); // at the end of the stream
 /// ```
 class EventAssembler {
 public:
@@ -35,15 +35,10 @@
     Pending_.clear();
     SearchedBytes_ = 0;
   }
-  /// `id` of the last complete event that had one; empty if there was none.
-  const std::string &lastId() const { return LastId_; }
 
 private:
-  void updateLastId(std::string_view Events);
-
   std::string Pending_;
   std::size_t SearchedBytes_ = 0; ///< prefix of Pending_ in which no event ends
-  std::string LastId_;
 };
 
 } // namespace cassiashed::gateway
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -376,7 +376,7 @@
 
 bool Exchange::isAnswerResumable() const {
   // Resumes after the last event that the caller received.
-  return Route_->Resumable && RelaysEvents_;
+  return Route_->Resumable && RelaysEvents_ && Continuity_.canContinue();
 }
 
 bool Exchange::allowsAnotherAttempt() const {
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -134,12 +134,16 @@
       co_return AttemptResult::Suspended;
     if (SuspendedSendsAgain_)
       co_return AttemptResult::Failed;
-    std::string Output = Events_.append(Piece);
+    std::string Output = Continuity_.accept(Events_.append(Piece));
     const bool Complete =
-        Read && Parser.is_done() &&
+        Read && Parser.is_done() && Continuity_.mayEnd() &&
         isWholeStream(Parser, AnswerStarted_ || !Output.empty());
     if (Events_.isOversized())
       FailureCause_ = "an event is too large";
+    else if (Continuity_.isRefused())
+      FailureCause_ = "an event does not continue the stream";
+    else if (Read && Parser.is_done() && !Continuity_.mayEnd())
+      FailureCause_ = "no event continues the stream";
     else if (Read && Parser.is_done() && !Complete)
       FailureCause_ = "the stream was broken off";
     if (Complete)
@@ -168,7 +172,8 @@
       endAnswer(AnswerHead_);
       co_return AttemptResult::Answered;
     }
-    if (!Read || Parser.is_done() || Events_.isOversized()) {
+    if (!Read || Parser.is_done() || Events_.isOversized() ||
+        Continuity_.isRefused()) {
       Events_.discardIncompleteEvent();
       co_return AnswerStarted_ ? AttemptResult::Broken : AttemptResult::Failed;
     }
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -112,8 +112,8 @@
   Added.Remaining = remainingTime();
   Added.Priority =
       DispatchRequest_.Work.Urgent ? UrgentPriority : NonUrgentPriority;
-  Added.LastEventId =
-      Events_.lastId().empty() ? RequestHead_.LastEventId : Events_.lastId();
+  Added.LastEventId = Continuity_.lastId().empty() ? RequestHead_.LastEventId
+                                                   : Continuity_.lastId();
   std::size_t NextPlan = 0;
   for (std::size_t Index = 1; Index < Chosen.Endpoints.size(); ++Index) {
     HelperAssignment Helper;
@@ -464,12 +464,15 @@
     if (!AnswerStarted_)
       AnswerHead_ = makeStreamHead(*Parser);
     RelaysEvents_ = true;
+    Continuity_.beginAnswer(Route_->Resumable ? RequestHead_.LastEventId : "",
+                            AnswerStarted_);
     recordFirstByte(Chosen);
     Result = co_await relayStream(*Connection, *Parser);
   } else {
-    if (AnswerStarted_)
-      co_return AttemptResult::Broken; // the resumed request was not answered
-                                       // with a stream
+    if (AnswerStarted_) {
+      FailureCause_ = "the resumed request was not answered with a stream";
+      co_return AttemptResult::Broken;
+    }
     Result = co_await relayWhole(*Connection, *Parser);
     recordFirstByte(Chosen);
   }
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -5,6 +5,7 @@
 #include "gateway/exchange.h"
 #include "gateway/reservations.h"
 #include "gateway/shared_placement.h"
+#include "gateway/stream_continuity.h"
 
 namespace cassiashed::gateway {
 
@@ -62,6 +63,7 @@
   std::unique_ptr<ResponseParser> Parser;
   std::shared_ptr<PendingWrite> Sending;
   EventAssembler Events; ///< with the begin of an event, if it is inside one
+  StreamContinuity Continuity;
   std::shared_ptr<Reservations> Memory;
 
   ~SuspendedAttempt() {
@@ -271,6 +273,7 @@
   TimePoint LastPieceSentAt_; ///< of the stream; unset before the first piece
   Duration LongestTokenGap_{0};
   EventAssembler Events_;
+  StreamContinuity Continuity_;
   AnswerHead AnswerHead_;     ///< of the stream that the caller gets
   bool RelaysEvents_ = false; ///< the answer is relayed event by event
   std::optional<BufferedAnswer> BufferedAnswer_;
--- a/src/gateway/exchange_suspended.cpp
+++ b/src/gateway/exchange_suspended.cpp
@@ -15,6 +15,7 @@
   Suspended_->Parser = std::move(Parser);
   Suspended_->Sending = std::move(Sending);
   Suspended_->Events = Events_;
+  Suspended_->Continuity = Continuity_;
   Suspended_->Memory = std::move(Reservations_);
   Events_.discardIncompleteEvent();
   watchSuspended();
@@ -44,6 +45,7 @@
   Attempt->Connection->Socket.cancel(Ignored);
   SuspendedSendsAgain_ = false;
   Events_ = std::move(Attempt->Events);
+  Continuity_ = std::move(Attempt->Continuity);
   Reservations_ = std::move(Attempt->Memory);
   ActiveConnection_ = Attempt->Connection.get();
   EndpointTimedOut_ = false;
--- a/src/gateway/message_formats_test.cpp
+++ b/src/gateway/message_formats_test.cpp
@@ -2,6 +2,7 @@
 #include "gateway/http_wire.h"
 #include "gateway/node_messages.h"
 #include "gateway/row_messages.h"
+#include "gateway/stream_continuity.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -15,18 +16,19 @@
                              "data: no id\n\nid:3\ndata: c\n\nid: 4\ndat";
   CHECK(rc::check([&] {
     EventAssembler Events;
+    StreamContinuity Continuity;
     std::string Output;
     std::size_t At = 0;
     while (At < Stream.size()) {
       const auto Size = static_cast<std::size_t>(*rc::gen::inRange(1, 9));
       const std::string Complete =
           Events.append(std::string_view(Stream).substr(At, Size));
-      Output += Complete;
+      Output += Continuity.accept(Complete);
       At += Size;
     }
     RC_ASSERT(Output + Events.incompleteEvent() == Stream);
     RC_ASSERT(Events.incompleteEvent() == "id: 4\ndat");
-    RC_ASSERT(Events.lastId() == "3");
+    RC_ASSERT(Continuity.lastId() == "3");
   }));
 }
 
--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -32,7 +32,9 @@
     that takes S seconds), "unframed_events" (events that end with the
     connection), "unframed_cut" (the same, in the middle of an event),
     "unframed_reset" (the same, by a reset), "unframed_none" (no event),
-    those of `DOUBTFUL`, "sized_cut" (a length that ends in the middle of an event). Bytes without
+    those of `DOUBTFUL`, "sized_cut" (a length that ends in the middle of an event),
+    "raw:TEXT" (this text as a whole stream, with a length), "untyped:TEXT" (the same,
+    without a type), "broken:TEXT" (this text of a stream, then the connection ends). Bytes without
     end until the caller closes: "endless_head", "endless_event" (after two whole
     events), "dripped_event" (the same, byte by byte), "endless_foreign" (an
     answer to another request), "endless_body", "endless_extension" (of a chunk),
@@ -187,6 +189,8 @@
                 time.sleep(float(behaviour[5:]) / 4)
         elif behaviour.startswith(("unframed_", "sized_")):
             return self._stream_without_chunks(connection, fields, behaviour)
+        elif behaviour.startswith(("raw:", "untyped:", "broken:")):
+            return self._send_text(connection, fields, *behaviour.split(":", 1))
         elif behaviour in ("events", "cut"):
             return self._stream(connection, fields, behaviour == "cut")
         return True
@@ -239,6 +243,18 @@
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
         return False
 
+    def _send_text(self, connection, fields, kind, text):
+        head = [f"Response-Signature: {self.identity}"]
+        if kind != "untyped":
+            head.append("Content-Type: text/event-stream")
+        if kind != "broken":
+            head.append(f"Content-Length: {len(text)}")
+            connection.sendall(self._head("200 OK", fields, head) + text.encode())
+            return True
+        head.append("Transfer-Encoding: chunked")
+        connection.sendall(self._head("200 OK", fields, head) + f"{len(text):x}\r\n{text}\r\n".encode())
+        return False
+
     def _stream(self, connection, fields, cut=False, pause=0):
         """Six events; the ids go on after Last-Event-Id. `pause`: seconds before the third."""
         connection.sendall(self._head("200 OK", fields, [f"Response-Signature: {self.identity}",
