--- a/src/http/peer_limits.cpp
+++ b/src/http/peer_limits.cpp
@@ -1,7 +1,7 @@
 #include "http/peer_limits.h"
 
-// <netinet/tcp.h> lacks tcpi_bytes_acked and defines the same names, so nothing
-// that includes it can be included here.
+// <netinet/tcp.h> lacks tcpi_notsent_bytes and defines the same names, so
+// nothing that includes it can be included here.
 #include <cstdint>
 #include <iterator>
 #include <linux/tcp.h>
@@ -32,8 +32,7 @@
   std::uint64_t Cookie = 0; ///< tells sockets apart that had the same number
   milliseconds Limit{0};
   bool IsExtended = false;
-  std::uint64_t BytesAcked = 0;
-  Clock::time_point ProgressAt; ///< last time that it took data or had it all
+  Clock::time_point PendingSince; ///< when it last had all that was written
 };
 
 /// By number of the socket.
@@ -42,12 +41,8 @@
   return Peers;
 }
 
-/// Whether the peer answers what it gets, though its window is closed.
-bool refusesData(const tcp_info &Info, milliseconds Limit) {
-  if (Info.tcpi_snd_wnd != 0 && Info.tcpi_unacked != 0)
-    return false;
-  return Info.tcpi_probes == 0 &&
-         milliseconds(Info.tcpi_last_ack_recv) <= Limit;
+bool isWindowClosed(const tcp_info &Info) {
+  return Info.tcpi_snd_wnd == 0 || Info.tcpi_unacked == 0;
 }
 
 /// Returns whether the connection still exists.
@@ -58,18 +53,21 @@
       Cookie != Watched.Cookie ||
       !readOption(Socket, IPPROTO_TCP, TCP_INFO, Info))
     return false;
+  const milliseconds Silence(Info.tcpi_last_ack_recv);
   const bool HasAll = Info.tcpi_unacked == 0 && Info.tcpi_notsent_bytes == 0;
-  if (HasAll || Info.tcpi_bytes_acked != Watched.BytesAcked) {
-    Watched.BytesAcked = Info.tcpi_bytes_acked;
-    Watched.ProgressAt = Now;
+  if (HasAll)
+    Watched.PendingSince = Now;
+  if (HasAll || Silence > Watched.Limit) {
     if (Watched.IsExtended)
       setUserTimeout(Socket, Watched.Limit);
     Watched.IsExtended = false;
-  } else if (refusesData(Info, Watched.Limit)) {
-    // The kernel's limit counts from when the window closed.
-    const auto Closed =
-        std::chrono::duration_cast<milliseconds>(Now - Watched.ProgressAt);
-    setUserTimeout(Socket, Closed + Watched.Limit);
+  } else if (Info.tcpi_probes == 0 &&
+             (Watched.IsExtended || isWindowClosed(Info))) {
+    // The kernel's limit may count from when the window closed first: small
+    // pieces that the peer takes since do not end the count.
+    const auto Pending =
+        std::chrono::duration_cast<milliseconds>(Now - Watched.PendingSince);
+    setUserTimeout(Socket, Pending + Watched.Limit);
     Watched.IsExtended = true;
   }
   return true;
@@ -81,7 +79,7 @@
   setUserTimeout(Socket, Limit);
   Peer Watched;
   Watched.Limit = Limit;
-  Watched.ProgressAt = Clock::now();
+  Watched.PendingSince = Clock::now();
   if (readOption(Socket, SOL_SOCKET, SO_COOKIE, Watched.Cookie))
     peers()[Socket] = Watched;
 }
--- a/tests/process/gateway_slow_peer_test.py
+++ b/tests/process/gateway_slow_peer_test.py
@@ -49,6 +49,14 @@
         self.assertEqual((status, body), (200, b"whole body"))
         self.assertEqual(len(self.requests(self.app)), 1)
 
+    # Guards against a limit that counts on while small pieces are taken.
+    def test_an_endpoint_that_reads_a_body_in_small_pieces_answers_it(self):
+        for each in self.app:
+            each.limit_receive_buffer(16384)
+            each.body_trickle = 8
+        status, _, body = self.call("/post/x", "POST", b"x" * BODY_BYTES, deadline_ms=30000)
+        self.assertEqual((status, body), (200, b"whole body"))
+
     # Guards against endpoints that hold up their requests after their machine is gone.
     def test_an_endpoint_that_is_gone_is_found_in_twice_its_limit(self):
         for gone_after in (0, 2, 5):
--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -82,6 +82,7 @@
         self.event_pause = 0.02
         self.raw = lambda fields: b""  # the bytes of "raw", by the request's fields
         self.body_pause = 0  # seconds before the body of a request is read
+        self.body_trickle = 0  # seconds for which it is then read in small pieces
         self.gone_after = None  # seconds after a head from which on the machine gives no sign
         self.extra_fields = []  # lines of every answer's head
         self.sent_without_end = 0  # bytes, by the behaviours that never end
@@ -121,7 +122,12 @@
                     time.sleep(self.gone_after)
                     drop_packets(connection)
                 time.sleep(self.body_pause)
-                body = reader.read(int(fields.get("content-length", 0)))
+                body, length = b"", int(fields.get("content-length", 0))
+                end = time.monotonic() + self.body_trickle
+                while len(body) < length and time.monotonic() < end:
+                    body += reader.read1(min(8192, length - len(body)))
+                    time.sleep(0.2)
+                body += reader.read(length - len(body))
                 if target in ("/order", "/report"):
                     self._answer_engine_call(connection, target, body)
                     continue
