--- a/tests/process/gateway_kept_connections_test.py
+++ b/tests/process/gateway_kept_connections_test.py
@@ -168,6 +168,18 @@
         self.assertEqual(self.stopping.process.wait(2), 0)
         self.assertLess(time.monotonic() - begin, 8)
 
+    # Guards against runs that go on for callers that left after they had sent their next request.
+    @unittest.skip("known failure, see KNOWN-RED.txt")
+    def test_a_caller_that_leaves_after_sending_early_ends_its_run(self):
+        self.share_script(self.llm, ["mute"])
+        peer = self.connect()
+        peer.sendall(self.request("/stream/x", "POST"))
+        self.wait_for(lambda: self.requests(self.llm), "the stream is passed on")
+        peer.sendall(self.request("/get/x"))
+        time.sleep(0.2)
+        peer.close()
+        self.wait_for(lambda: any(each.closed_by_caller.is_set() for each in self.llm), "the run ends", seconds=0.5)
+
     def test_a_stream_across_the_stop_is_whole(self):
         for each in self.llm:
             each.script = ["pause:4"]
--- a/tests/process/gateway_silence_test.py
+++ b/tests/process/gateway_silence_test.py
@@ -122,6 +122,12 @@
         self.share_script(self.llm + [third], ["cut", "late:4", "refuse"])
         self.assertEqual(self.ask("/stream/x")[::2], (200, EVENTS))
 
+    # Guards against a late first event that is given up for an engine that then refuses.
+    @unittest.skip("known failure, see KNOWN-RED.txt")
+    def test_a_late_first_event_is_kept_until_another_engine_answers(self):
+        self.share_script(self.llm, ["late:4", "refuse"])
+        self.assertEqual(self.ask("/stream/x")[::2], (200, EVENTS))
+
     # Guards against streams that are broken off because no other engine is free at that very moment.
     def test_a_broken_stream_waits_for_an_engine_that_can_resume_it(self):
         self.leave_one_engine()
