Log how the answer of an endpoint is framed

Cause: the log did not tell an answer that ends with its connection from one with a length or chunks, nor, with it, an end from a break. Change: attempt_ended has the field framing. Result: gateway_framing_test sees all three kinds in the log.

--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -43,6 +43,12 @@
   return Names[static_cast<std::size_t>(Result)];
 }
 
+Framing framingOf(const ResponseParser &Parser) {
+  if (Parser.need_eof())
+    return Framing::Close;
+  return Parser.chunked() ? Framing::Chunked : Framing::Length;
+}
+
 http::Task<bool> Exchange::reserve(const Dispatch &Chosen) {
   ReservationPlans_.clear();
   for (std::size_t Index = 1; Index < Chosen.Parts.size(); ++Index) {
@@ -303,6 +309,7 @@
   ActiveConnection_ = Connection.get();
   EndpointTimedOut_ = false;
   FailureCause_.clear();
+  EndpointFraming_.reset();
   FirstByteSeen_ = false;
   const auto Sending = std::make_shared<PendingWrite>();
   Sending->Head = formatForwardedHead(Chosen);
@@ -334,6 +341,7 @@
         .field("attempt", SentAttempts_)
         .field("endpoint", Endpoint->Entry.Id)
         .field("result", nameOf(Result))
+        .field("framing", EndpointFraming_ ? nameOf(*EndpointFraming_) : "none")
         .field("silent", EndpointTimedOut_)
         .field("cause", FailureCause_);
   });
@@ -420,6 +428,7 @@
     MayHaveRun_ = true;
     co_return AttemptResult::Failed;
   }
+  EndpointFraming_ = framingOf(*Parser);
   const int Status = static_cast<int>(Parser->get().result_int());
   recordEndpointState(Endpoint, Answer);
   if (provesNotRun(Status, Answer)) {
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -17,6 +17,9 @@
 using catalog::EndpointRef;
 using ResponseParser = bhttp::response_parser<bhttp::buffer_body>;
 
+/// How the body that `Parser` reads ends.
+Framing framingOf(const ResponseParser &Parser);
+
 /// Why the gateway gave up a request before its answer was complete.
 enum class CancelReason {
   None,
@@ -251,6 +254,9 @@
   CancelReason CancelReason_ = CancelReason::None;
   bool EndpointTimedOut_ = false;
   std::string FailureCause_; ///< of the last attempt
+  /// How the endpoint framed its answer to the last attempt; empty before the
+  /// head.
+  std::optional<Framing> EndpointFraming_;
   EndpointConnection *ActiveConnection_ = nullptr;
   std::unique_ptr<SuspendedAttempt> Suspended_;
   bool SuspendedSendsAgain_ = false;
--- a/src/gateway/exchange_suspended.cpp
+++ b/src/gateway/exchange_suspended.cpp
@@ -85,6 +85,7 @@
   EndpointTimedOut_ = false;
   IsRelaying_ = true;
   FailureCause_.clear();
+  EndpointFraming_ = framingOf(*Attempt->Parser);
   State_.Log.write("attempt_resumed", State_.now(), [&](LogLine &Line) {
     Line.field("id", RequestHead_.AttemptId)
         .field("endpoint", Endpoint->Entry.Id);
--- a/src/gateway/http_wire.cpp
+++ b/src/gateway/http_wire.cpp
@@ -61,6 +61,12 @@
   return Text;
 }
 
+std::string_view nameOf(Framing Body) {
+  static constexpr std::array<std::string_view, 3> Names = {"length", "chunked",
+                                                            "close"};
+  return Names[static_cast<std::size_t>(Body)];
+}
+
 std::string formatAnswerHead(const AnswerHead &Head) {
   std::string Text;
   Text.reserve(512);
--- a/src/gateway/http_wire.h
+++ b/src/gateway/http_wire.h
@@ -45,6 +45,8 @@
   Close,   ///< ends when the connection closes
 };
 
+std::string_view nameOf(Framing Body);
+
 struct AnswerHead {
   int Status = 200;
   std::string Reason; ///< empty: the standard phrase
--- a/tests/process/gateway_framing_test.py
+++ b/tests/process/gateway_framing_test.py
@@ -43,6 +43,17 @@
             self.assertEqual((status, body), (200, EVENTS), path)
             self.assertEqual(fields["Transfer-Encoding"], "chunked")
 
+    # Guards against logs that do not tell how the answers of an endpoint are framed.
+    def test_the_framing_of_an_answer_is_logged(self):
+        for path, behaviour, framing in (("/once/a", "events", "chunked"), ("/once/b", "unframed_events", "close"),
+                                         ("/get/a", "ok", "length")):
+            self.share_script(self.llm + self.app, [behaviour])
+            self.ask(path)
+            logged = f"event=attempt_ended id=a{self.attempt} ".encode()
+            self.wait_for(lambda: logged in self.gateway.log_path.read_bytes(), "the attempt is logged")
+            line = self.gateway.log_path.read_bytes().partition(logged)[2].partition(b"\n")[0]
+            self.assertIn(f" result=answered framing={framing} ".encode(), line)
+
     def check_looks_incomplete(self, behaviour):
         for path in ("/stream/x", "/once/x"):
             self.share_script(self.llm, [behaviour])
