Do not take the last event id of a caller for the end of a stream

What callers saw: a caller that resumed a stream by itself got 200, no event and the last chunk, though the stream had more events.

Cause: the endpoint closed its connection before the first event of an answer without a length or chunks. isWholeStream took the Last-Event-Id of the caller as proof that such an empty answer is whole, but it only tells what the caller already has.

Change: an answer that ends with its connection is whole only if it brought an event. Otherwise the attempt has failed: another endpoint is tried, or the caller gets 502, as without Last-Event-Id.

--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -59,10 +59,8 @@
   if (Events_.isInsideEvent())
     return false;
   // Without a length or chunks, an empty stream cannot be told from one that
-  // was broken off before its first event. It is whole if the caller already
-  // has the events before it.
-  const bool HasFraming = Parser.chunked() || Parser.content_length();
-  return HasFraming || HasEvents || !RequestHead_.LastEventId.empty();
+  // was broken off before its first event.
+  return HasEvents || framingOf(Parser) != Framing::Close;
 }
 
 std::string Exchange::beginAnswer(const AnswerHead &Head) {
--- a/tests/process/gateway_framing_test.py
+++ b/tests/process/gateway_framing_test.py
@@ -19,8 +19,8 @@
         ]))
         self.wait_for(lambda: b"event=config_in_force version=4" in self.gateway.log_path.read_bytes(), "version 4")
 
-    def ask(self, path):
-        return self.call(path, "POST", b"prompt", **{"Token-Counts": "5000,300"})
+    def ask(self, path, **fields):
+        return self.call(path, "POST", b"prompt", **{"Token-Counts": "5000,300"}, **fields)
 
     def old_caller(self, path, fields=""):
         """Bytes that a caller without chunks gets, and whether its connection is reset."""
@@ -72,6 +72,12 @@
     def test_a_stream_that_ends_before_its_first_event_looks_incomplete(self):
         self.check_looks_incomplete("unframed_none")
 
+    # Guards against a stream without events that is framed as complete because the caller resumes it.
+    def test_a_resumed_stream_that_ends_before_its_first_event_looks_incomplete(self):
+        for path in ("/stream/x", "/once/x"):
+            self.share_script(self.llm, ["unframed_none"])
+            self.assertIn(self.ask(path, **{"Last-Event-Id": "2"})[0], (0, 502), path)
+
     def test_a_stream_that_ends_inside_an_event_is_resumed_elsewhere(self):
         for behaviour in self.BROKEN:
             self.share_script(self.llm, [behaviour, "unframed_events"])
