Break off answers whose reset was met by another call

What callers saw: an answer without a length or chunks whose connection was reset was framed as complete, streams and plain answers alike.

Cause: the kernel reports a reset once, to the first call that meets it, and an orderly end to all reads after that. This call can be the probe of a suspended attempt, or the write of a request whose answer came early.

Change: where the end of the connection ends the body, the connection is asked whether it was reset. A reset connection has no remote address any more; one that the peer closed in order has.

--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -1,6 +1,7 @@
 #include "gateway/exchange_internal.h"
 
 #include "cassiashed/balancing/first_byte_timeout.h"
+#include "http/peek.h"
 #include <boost/asio/write.hpp>
 
 namespace cassiashed::gateway {
@@ -98,6 +99,12 @@
       co_return false;
     }
     Count = Piece.size() - Parser.get().body().size;
+    if (Parser.is_done() && framingOf(Parser) == Framing::Close &&
+        http::isReset(Connection.Socket)) {
+      FailureCause_ = "the connection was reset";
+      Piece.clear();
+      co_return false;
+    }
   }
   State_.Health.recordBytesReceived(
       Connection.Number, State_.Pool.busyCount(Connection.Number) > 1,
--- a/src/http/peek.cpp
+++ b/src/http/peek.cpp
@@ -13,4 +13,12 @@
   return Failure || Count == 0 ? Readable::Closed : Readable::Bytes;
 }
 
+bool isReset(const Tcp::socket &Socket) {
+  boost::system::error_code Failure;
+  // A connection that the peer closed in order keeps its remote address until
+  // it is closed here, too.
+  (void)Socket.remote_endpoint(Failure);
+  return Failure == asio::error::not_connected;
+}
+
 } // namespace cassiashed::http
--- a/tests/process/gateway_framing_test.py
+++ b/tests/process/gateway_framing_test.py
@@ -12,15 +12,17 @@
 
     def setUp(self):
         super().setUp()
-        self.store.put("op", "config", make_config(4, [
+        config = make_config(4, [
             route("/get/", "idempotent", "app"),
             route("/stream/", "streaming", "llm", resumable=True, targetGapMs=250, timeoutMs=12000),
             route("/once/", "streaming", "llm", targetGapMs=250, timeoutMs=12000),
-        ]))
+        ])
+        config["limits"]["bodyBytes"] = 32 << 20
+        self.store.put("op", "config", config)
         self.wait_for(lambda: b"event=config_in_force version=4" in self.gateway.log_path.read_bytes(), "version 4")
 
-    def ask(self, path, **fields):
-        return self.call(path, "POST", b"prompt", **{"Token-Counts": "5000,300"}, **fields)
+    def ask(self, path, body=b"prompt", **fields):
+        return self.call(path, "POST", body, deadline_ms=9000, **{"Token-Counts": "5000,300"}, **fields)
 
     def old_caller(self, path, fields=""):
         """Bytes that a caller without chunks gets, and whether its connection is reset."""
@@ -78,6 +80,22 @@
             self.share_script(self.llm, ["unframed_none"])
             self.assertIn(self.ask(path, **{"Last-Event-Id": "2"})[0], (0, 502), path)
 
+    # Guards against a reset that was noticed before the end of the stream was read, and then looks orderly.
+    def test_a_silent_stream_that_is_reset_looks_incomplete(self):
+        self.share_script(self.llm, ["unframed_stall:3", "refuse_late:2.5"])
+        self.assertIn(self.ask("/stream/x")[0], (0, 502))
+
+    # Guards against a reset that the sending of the request met, so that the end of the answer looks orderly.
+    def test_an_early_answer_that_is_reset_looks_incomplete(self):
+        for each in self.llm + self.app:
+            each.limit_receive_buffer(4096)
+            each.answers_early = True
+        body = b"x" * (16 << 20)
+        for path, replicas, behaviour in (("/once/x", self.llm, "unframed_events"), ("/get/x", self.app, "unframed")):
+            with self.subTest(path):
+                self.share_script(replicas, [behaviour])
+                self.assertIn(self.ask(path, body)[0], (0, 502))
+
     def test_a_stream_that_ends_inside_an_event_is_resumed_elsewhere(self):
         for behaviour in self.BROKEN:
             self.share_script(self.llm, [behaviour, "unframed_events"])
--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -41,7 +41,9 @@
     "pause:S" (S seconds between two events), "slow:S" (a body that takes S
     seconds), "large" (a body of 16 MiB), "unframed_events" (events that end with
     the connection), "unframed_cut" (the same, in the middle of an event),
-    "unframed_reset" (the same, by a reset), "unframed_none" (no event), "raw" (the
+    "unframed_reset" (the same, by a reset), "unframed_none" (no event),
+    "unframed_stall:S" (whole events, then a reset after S seconds), "refuse_late:S"
+    (not run, after S seconds), "raw" (the
     bytes of `raw`, then a close), "raw:TEXT" (this text as a whole stream, with a
     length), "untyped:TEXT" (the same, without a type), "broken:TEXT" (this text of
     a stream, then the connection ends), those of `DOUBTFUL`, "sized_cut" (a length
@@ -83,6 +85,7 @@
         self.raw = lambda fields: b""  # the bytes of "raw", by the request's fields
         self.body_pause = 0  # seconds before the body of a request is read
         self.body_trickle = 0  # seconds for which it is then read in small pieces
+        self.answers_early = False  # without reading the body; then closes, which resets
         self.gone_after = None  # seconds after a head from which on the machine gives no sign
         self.extra_fields = []  # lines of every answer's head
         self.sent_without_end = 0  # bytes, by the behaviours that never end
@@ -127,7 +130,8 @@
                 while len(body) < length and time.monotonic() < end:
                     body += reader.read1(min(8192, length - len(body)))
                     time.sleep(0.2)
-                body += reader.read(length - len(body))
+                if not self.answers_early:
+                    body += reader.read(length - len(body))
                 if target in ("/order", "/report"):
                     self._answer_engine_call(connection, target, body)
                     continue
@@ -179,7 +183,8 @@
             connection.sendall(self._whole(fields, b"failed", status="500 Internal Server Error"))
         elif behaviour == "foreign":
             connection.sendall(self._whole(fields, b"of another", "another") + self._whole(fields))
-        elif behaviour == "refuse":
+        elif behaviour.split(":")[0] in ("refuse", "refuse_late"):
+            time.sleep(float(behaviour[12:] or 0))
             connection.sendall(self._head("503 Busy", fields, ["Not-Executed: 1", "Content-Length: 0"]))
         elif behaviour == "unsigned":
             connection.sendall(self._head("200 OK", fields, ["Content-Length: 2"]) + b"no")
@@ -263,16 +268,20 @@
     def _stream_without_chunks(self, connection, fields, behaviour):
         first = int(fields.get("last-event-id", 0)) + 1
         events = "".join(f"id: {number}\ndata: token {number}\n\n" for number in range(first, 7)).encode()
+        stall = float(behaviour.partition(":")[2] or 0.1)
+        behaviour = behaviour.split(":")[0]
         if behaviour.endswith("_none"):
             events = b""
+        elif behaviour.endswith("_stall"):
+            events = b"".join(events.splitlines(True)[:6])  # two whole events
         elif not behaviour.endswith("_events"):
             events = events[:40]
         head = [f"Response-Signature: {self.identity}", "Content-Type: text/event-stream"]
         if behaviour.startswith("sized_"):
             head.append(f"Content-Length: {len(events)}")
         connection.sendall(self._head("200 OK", fields, head) + events)
-        if behaviour.endswith("_reset"):
-            time.sleep(0.1)
+        if behaviour.endswith(("_reset", "_stall")):
+            time.sleep(stall)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
         return False
 
