Stop listening before the event loop of a stopping gateway ends

Cause: the listening socket stayed open until the end of the process, after the event loop had ended, and what waited in its queue when the loop ended was not served either.

Change: 0.8 s before the kill the waiting connections are accepted and the listening socket is closed; the loop ends a tick later at the earliest, also in a process that was held up. Later connections are refused by the kernel.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -321,6 +321,8 @@
 
 private:
   void accept() {
+    if (!Acceptor_.is_open())
+      return;
     Acceptor_.async_accept([this](Code Failure, Tcp::socket Socket) {
       if (Failure == asio::error::operation_aborted)
         return;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -378,10 +378,14 @@
     const Duration Elapsed =
         std::chrono::duration_cast<Duration>(Now - State_.StoppingSince);
     const Duration Grace = State_.Settings.Bounds.Grace;
-    if (Elapsed >= Grace - FinalAnswerMargin)
-      endUnansweredRequests(State_);
-    if (Elapsed >= Grace - ShutdownMargin)
+    // A tick lies between the two, also in a process that was held up, so that
+    // the connections that were waiting get an answer.
+    if (AcceptingEnded_ && Elapsed >= Grace - ShutdownMargin)
       Context_.stop();
+    if (Elapsed >= Grace - FinalAnswerMargin) {
+      endUnansweredRequests(State_);
+      endAccepting();
+    }
     if (Elapsed < BalancerDelay)
       return;
     Callers_->closeIdle();
@@ -390,6 +394,13 @@
       Context_.stop();
   }
 
+  /// Later connections are refused by the kernel, rather than reset when the
+  /// process ends.
+  void endAccepting() {
+    while (!AcceptingEnded_)
+      AcceptingEnded_ = Callers_->stopAccepting();
+  }
+
   std::filesystem::file_time_type settingsTime() const {
     std::error_code Ignored;
     return std::filesystem::last_write_time(SettingsPath_, Ignored);
@@ -464,6 +475,7 @@
   BootTime AgeQueriedAt_; ///< when other nodes were last asked
   BootTime RefreshedAt_;  ///< when a refresh was last started
   bool KnewKeys_ = true;
+  bool AcceptingEnded_ = false; ///< callers can no longer connect
   std::filesystem::file_time_type SettingsTime_;
 };
 
--- a/tests/process/gateway_stop_test.py
+++ b/tests/process/gateway_stop_test.py
@@ -1,6 +1,7 @@
 """What a gateway that was told to stop does with the requests that it has."""
 
 import signal
+import socket
 import threading
 import time
 import unittest
@@ -40,6 +41,41 @@
         thread.start()
         return thread, result
 
+    def stop_during_an_answer(self):
+        """A stream that has begun keeps the process until its end. Returns the time of the stop."""
+        for each in self.llm:
+            each.script = ["pause:9"]
+        call, _ = self.begin("/once/x")
+        self.addCleanup(call.join)
+        self.wait_for(lambda: self.requests(self.llm), "the stream is passed on")
+        self.stop()
+        return time.monotonic()
+
+    def connect(self):
+        return socket.create_connection((self.stopping.host, self.stopping.port), timeout=2)
+
+    # Guards against connections that the kernel still accepts for a process that serves no more.
+    def test_connections_are_refused_at_the_very_end(self):
+        stopped = self.stop_during_an_answer()
+        time.sleep(stopped + GRACE_S - 0.6 - time.monotonic())
+        self.assertIsNone(self.stopping.process.poll())
+        with self.assertRaises(ConnectionRefusedError):
+            self.connect()
+
+    # Guards against connections that wait while the process is held up, and are reset by its end.
+    def test_connections_that_waited_for_a_process_that_was_held_up_are_answered(self):
+        stopped = self.stop_during_an_answer()
+        time.sleep(stopped + GRACE_S - 0.95 - time.monotonic())
+        self.stopping.process.send_signal(signal.SIGSTOP)
+        waiting = [self.connect() for _ in range(5)]
+        for peer in waiting:
+            self.addCleanup(peer.close)
+            peer.sendall(b"GET /get/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: late\r\n\r\n")
+        time.sleep(stopped + GRACE_S - 0.3 - time.monotonic())
+        self.stopping.process.send_signal(signal.SIGCONT)
+        for peer in waiting:
+            self.assertTrue(peer.recv(65536).startswith(b"HTTP/1.1 "))
+
     # Guards against requests that wait for memory and are closed without an answer when their process ends.
     def test_a_request_that_waits_for_memory_is_refused_at_once(self):
         for each in self.llm:
