Keep an attempt whose first event is late until another one answers

What callers saw: 502 after 1.6 s, though the first endpoint would have answered: it was given up for another one, which then refused.

Cause: only attempts whose stream had begun were suspended. Before the first event the connection was closed as soon as another endpoint could be chosen.

Change: such an attempt is suspended, too, with or without its head, if this node may make another attempt. It ends when another endpoint begins the answer; if none does, it goes on with its own head. An attempt that no other one may follow is closed as before, so that its caller hears of it soon.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -200,7 +200,7 @@
   EndpointTimedOut_ = true;
   EndpointDeadline_ = TimePoint::max();
   Code Ignored;
-  if (AnswerStarted_ && !Suspended_)
+  if (canSuspend())
     ActiveConnection_->Socket.cancel(Ignored); // the attempt may be resumed
   else
     ActiveConnection_->Socket.close(Ignored);
@@ -216,11 +216,23 @@
               .Endpoints.empty();
 }
 
-bool Exchange::canResumeElsewhere() {
-  return isAnswerResumable() && allowsAnotherAttempt() && isKeyStillValid() &&
+bool Exchange::canSuspend() const {
+  if (Suspended_)
+    return false;
+  // Before the answer has begun, the caller of a silent endpoint is told so
+  // unless another one is tried here.
+  return AnswerStarted_ ||
+         (Route_->Kind == CallKind::Stream && canSpendAttempt());
+}
+
+bool Exchange::canSpendAttempt() const {
+  return allowsAnotherAttempt() && isKeyStillValid() &&
          State_.Retries.canSpendRetry(Service_->Name, State_.sharingNodes(),
-                                      State_.now()) &&
-         canRetryElsewhere();
+                                      State_.now());
+}
+
+bool Exchange::canResumeElsewhere() {
+  return isAnswerResumable() && canSpendAttempt() && canRetryElsewhere();
 }
 
 void Exchange::cancel(CancelReason Reason) {
@@ -424,7 +436,7 @@
     break;
   case AttemptResult::Broken:
   case AttemptResult::Suspended:
-    if (!isAnswerResumable())
+    if (AnswerStarted_ && !isAnswerResumable())
       return false;
     break;
   }
@@ -479,6 +491,8 @@
           Last = co_await attempt(Chosen);
           Retry = !SuspendedSendsAgain_ && shouldRetry(Last);
         }
+        if (Last == AttemptResult::Answered)
+          Suspended_.reset();
         while (!Retry && Suspended_) {
           Last = co_await resumeSuspended();
           Retry = shouldRetry(Last);
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -66,6 +66,7 @@
 
 std::string Exchange::beginAnswer(const AnswerHead &Head) {
   AnswerStarted_ = true;
+  Suspended_.reset(); // its answer would be another one
   Code Ignored;
   if (Head.Body == Framing::Close)
     Caller_.set_option(asio::socket_base::linger(true, 0), Ignored);
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -43,6 +43,16 @@
   return Names[static_cast<std::size_t>(Result)];
 }
 
+std::unique_ptr<ResponseParser> Exchange::makeResponseParser() const {
+  auto Result = std::make_unique<ResponseParser>();
+  Result->header_limit(MaxEndpointHeadBytes);
+  // Boost 1.74 treats an absent limit as 0 if the answer states a length.
+  Result->body_limit(std::numeric_limits<std::uint64_t>::max());
+  if (Request_.Method == "HEAD")
+    Result->skip(true);
+  return Result;
+}
+
 Framing framingOf(const ResponseParser &Parser) {
   if (Parser.need_eof())
     return Framing::Close;
@@ -234,11 +244,11 @@
 }
 
 void Exchange::recordFirstByte(const Dispatch &Chosen) {
+  if (Reservations_)
+    Reservations_->recordAnswerStarted();
   if (FirstByteSeen_)
     return;
   FirstByteSeen_ = true;
-  if (Reservations_)
-    Reservations_->recordAnswerStarted();
   const TimePoint Now = State_.now();
   State_.Load.markStarted(DispatchRequest_.Work.Id, Now);
   if (Service_->Engine) {
@@ -324,7 +334,9 @@
                       Sending->Done = true;
                       Sending->Failure = Failure;
                     });
-  AttemptResult Result = co_await receive(Chosen, Connection, Sending);
+  std::unique_ptr<ResponseParser> Parser = makeResponseParser();
+  const AttemptResult Result =
+      co_await receive(Chosen, Connection, Sending, std::move(Parser));
   ActiveConnection_ = nullptr;
   IsRelaying_ = false;
   setEndpointDeadline(TimePoint::max());
@@ -379,42 +391,37 @@
   });
 }
 
-http::Task<AttemptResult>
-Exchange::receive(const Dispatch &Chosen, EndpointConnectionPtr &Connection,
-                  const std::shared_ptr<PendingWrite> &Sending) {
-  const EndpointRef Endpoint = Chosen.Endpoints.front();
-  const bool IsStream = Route_->Kind == CallKind::Stream;
-  setEndpointDeadline(firstByteDeadline(Chosen));
-  std::unique_ptr<ResponseParser> Parser;
-  EndpointHead Answer;
-  bool Matches = false;
+http::Task<std::optional<AttemptResult>> Exchange::readAnswerHead(
+    const EndpointRef &Endpoint, EndpointConnection &Connection,
+    std::unique_ptr<ResponseParser> &Parser, EndpointHead &Answer) {
   std::size_t StaleAnswerBytes = 0;
-  for (int Skipped = 0; !Matches && Skipped <= MaxStaleAnswers; ++Skipped) {
-    Parser = std::make_unique<ResponseParser>();
-    Parser->header_limit(MaxEndpointHeadBytes);
-    // Boost 1.74 treats an absent limit as 0 if the answer states a length.
-    Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    if (Request_.Method == "HEAD")
-      Parser->skip(true);
+  for (int Skipped = 0; Skipped <= MaxStaleAnswers; ++Skipped) {
+    if (!Parser)
+      Parser = makeResponseParser();
     Code Failure;
-    co_await bhttp::async_read_header(Connection->Socket, Connection->Buffer,
+    co_await bhttp::async_read_header(Connection.Socket, Connection.Buffer,
                                       *Parser, intoCode(Failure));
     if (Failure) {
       FailureCause_ = Failure.message();
-      recordInterruption(Endpoint);
       MayHaveRun_ = true;
+      if (EndpointTimedOut_ && Connection.Socket.is_open())
+        co_return AttemptResult::Suspended;
+      recordInterruption(Endpoint);
       co_return AttemptResult::Failed;
     }
     const int Status = static_cast<int>(Parser->get().result_int());
-    if (Status >= 100 && Status < 200)
+    if (Status >= 100 && Status < 200) {
+      Parser.reset();
       continue;
+    }
     const http::Headers Fields = endToEndFields(Parser->get());
     Answer = State_.Protocol.readEndpointHead(Status, Fields);
+    if (isAnswerTo(RequestHead_.AttemptId, Answer))
+      co_return std::nullopt;
     // An answer to an earlier request may precede the one to this request.
-    Matches = isAnswerTo(RequestHead_.AttemptId, Answer);
-    while (!Matches && !Parser->is_done()) {
+    while (!Parser->is_done()) {
       std::string Ignored;
-      const bool Read = co_await readPiece(*Connection, *Parser, Ignored);
+      const bool Read = co_await readPiece(Connection, *Parser, Ignored);
       StaleAnswerBytes += Ignored.size();
       if (StaleAnswerBytes > MaxStaleAnswerBytes)
         FailureCause_ = "an answer to another request is too large";
@@ -424,12 +431,27 @@
         co_return AttemptResult::Failed;
       }
     }
+    Parser.reset();
   }
-  if (!Matches) {
-    FailureCause_ = "answers to other requests";
-    MayHaveRun_ = true;
-    co_return AttemptResult::Failed;
-  }
+  FailureCause_ = "answers to other requests";
+  MayHaveRun_ = true;
+  co_return AttemptResult::Failed;
+}
+
+http::Task<AttemptResult>
+Exchange::receive(const Dispatch &Chosen, EndpointConnectionPtr &Connection,
+                  const std::shared_ptr<PendingWrite> &Sending,
+                  std::unique_ptr<ResponseParser> Parser) {
+  const EndpointRef Endpoint = Chosen.Endpoints.front();
+  const bool IsStream = Route_->Kind == CallKind::Stream;
+  setEndpointDeadline(firstByteDeadline(Chosen));
+  EndpointHead Answer;
+  const std::optional<AttemptResult> Ended =
+      co_await readAnswerHead(Endpoint, *Connection, Parser, Answer);
+  if (Ended == AttemptResult::Suspended)
+    suspend(Chosen, std::move(Connection), std::move(Parser), Sending);
+  if (Ended)
+    co_return *Ended;
   EndpointFraming_ = framingOf(*Parser);
   const int Status = static_cast<int>(Parser->get().result_int());
   recordEndpointState(Endpoint, Answer);
@@ -482,11 +504,19 @@
     Result = co_await relayWhole(*Connection, *Parser);
     recordFirstByte(Chosen);
   }
+  endRelay(Chosen, Result, std::move(Connection), std::move(Parser), Sending);
+  co_return Result;
+}
+
+void Exchange::endRelay(const Dispatch &Chosen, AttemptResult Result,
+                        EndpointConnectionPtr Connection,
+                        std::unique_ptr<ResponseParser> Parser,
+                        const std::shared_ptr<PendingWrite> &Sending) {
   if (Result == AttemptResult::Suspended)
-    suspend(Endpoint, std::move(Connection), std::move(Parser), Sending);
+    suspend(Chosen, std::move(Connection), std::move(Parser), Sending);
   else
-    finishAttempt(Endpoint, Result, std::move(Connection), *Parser, *Sending);
-  co_return Result;
+    finishAttempt(Chosen.Endpoints.front(), Result, std::move(Connection),
+                  *Parser, *Sending);
 }
 
 void Exchange::finishAttempt(const EndpointRef &Endpoint, AttemptResult Result,
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -57,13 +57,13 @@
   std::string Body;
 };
 
-/// An attempt whose endpoint fell silent in the middle of a stream. It is kept
-/// until another endpoint has continued the stream, since that one may refuse
-/// or fail, and the silent one may go on.
+/// An attempt whose endpoint fell silent before or in the middle of a stream.
+/// It is kept until another endpoint has begun or continued the stream, since
+/// that one may refuse or fail, and the silent one may go on.
 struct SuspendedAttempt {
-  EndpointRef Endpoint;
+  Dispatch Chosen;
   EndpointConnectionPtr Connection;
-  std::unique_ptr<ResponseParser> Parser;
+  std::unique_ptr<ResponseParser> Parser; ///< may not have read the head yet
   std::shared_ptr<PendingWrite> Sending;
   EventAssembler Events; ///< with the begin of an event, if it is inside one
   StreamContinuity Continuity;
@@ -119,6 +119,10 @@
   /// it may make no further attempt, for the caller after a 502. The silence of
   /// an endpoint alone is no reason to give up its answer.
   bool canRetryElsewhere();
+  /// Whether the current attempt can be kept while another endpoint is tried.
+  bool canSuspend() const;
+  /// Whether another attempt is allowed, apart from the choice of an endpoint.
+  bool canSpendAttempt() const;
   /// Whether this node could continue the started answer at another endpoint.
   bool canResumeElsewhere();
   void watchCaller();
@@ -156,20 +160,32 @@
   TimePoint firstByteDeadline(const Dispatch &Chosen) const;
   /// When an answer that is read whole is abandoned unless more of it arrives.
   TimePoint wholeAnswerDeadline() const;
+  std::unique_ptr<ResponseParser> makeResponseParser() const;
+  /// Reads heads up to the one that answers this request. Returns how the
+  /// attempt ended if there is none. `Parser` may have read a part of a head.
+  http::Task<std::optional<AttemptResult>>
+  readAnswerHead(const EndpointRef &Endpoint, EndpointConnection &Connection,
+                 std::unique_ptr<ResponseParser> &Parser, EndpointHead &Answer);
   http::Task<AttemptResult>
   receive(const Dispatch &Chosen, EndpointConnectionPtr &Connection,
-          const std::shared_ptr<PendingWrite> &Sending);
+          const std::shared_ptr<PendingWrite> &Sending,
+          std::unique_ptr<ResponseParser> Parser);
   /// Keeps the state of an attempt whose endpoint is silent.
-  void suspend(const EndpointRef &Endpoint, EndpointConnectionPtr Connection,
+  void suspend(const Dispatch &Chosen, EndpointConnectionPtr Connection,
                std::unique_ptr<ResponseParser> Parser,
                std::shared_ptr<PendingWrite> Sending);
-  /// Goes on with the suspended attempt, because no other endpoint continued
-  /// its stream.
+  /// Goes on with the suspended attempt, because no other endpoint began or
+  /// continued its stream.
   http::Task<AttemptResult> resumeSuspended();
   /// Ends the attempt that should replace the suspended one if that one sends
   /// again first.
   void watchSuspended();
   void checkSuspended();
+  /// Suspends or finishes an attempt whose answer was relayed.
+  void endRelay(const Dispatch &Chosen, AttemptResult Result,
+                EndpointConnectionPtr Connection,
+                std::unique_ptr<ResponseParser> Parser,
+                const std::shared_ptr<PendingWrite> &Sending);
   /// Records the result of an attempt and keeps its connection for others.
   void finishAttempt(const EndpointRef &Endpoint, AttemptResult Result,
                      EndpointConnectionPtr Connection,
--- a/src/gateway/exchange_suspended.cpp
+++ b/src/gateway/exchange_suspended.cpp
@@ -10,27 +10,34 @@
 /// How often bytes that complete no event are looked at again.
 constexpr Duration PeekPeriod{50};
 
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+
 /// Whether the unread bytes complete an event or the stream. Bytes alone may
-/// belong to an event that never ends.
-bool hasEventEnd(Tcp::socket &Socket) {
+/// belong to an event that never ends, a head to a stream without events.
+bool hasEventEnd(Tcp::socket &Socket, bool IsHeadRead) {
   std::array<char, PeekBytes> Bytes{};
   Code Failure;
   const std::size_t Count =
       Socket.receive(asio::buffer(Bytes), Tcp::socket::message_peek, Failure);
-  const std::string_view Text(Bytes.data(), Failure ? 0 : Count);
+  std::string_view Text(Bytes.data(), Failure ? 0 : Count);
+  if (!IsHeadRead) {
+    const std::size_t AtEnd = Text.find(HeadEnd);
+    if (AtEnd == std::string_view::npos)
+      return false;
+    Text.remove_prefix(AtEnd + HeadEnd.size());
+  }
   return Text.find("\n\n") != std::string_view::npos ||
-         Text.find("\r\n\r\n") != std::string_view::npos;
+         Text.find(HeadEnd) != std::string_view::npos;
 }
 
 } // namespace
 
-void Exchange::suspend(const EndpointRef &Endpoint,
-                       EndpointConnectionPtr Connection,
+void Exchange::suspend(const Dispatch &Chosen, EndpointConnectionPtr Connection,
                        std::unique_ptr<ResponseParser> Parser,
                        std::shared_ptr<PendingWrite> Sending) {
-  recordInterruption(Endpoint);
+  recordInterruption(Chosen.Endpoints.front());
   Suspended_ = std::make_unique<SuspendedAttempt>();
-  Suspended_->Endpoint = Endpoint;
+  Suspended_->Chosen = Chosen;
   Suspended_->Connection = std::move(Connection);
   Suspended_->Parser = std::move(Parser);
   Suspended_->Sending = std::move(Sending);
@@ -55,7 +62,7 @@
   Tcp::socket &Socket = Suspended_->Connection->Socket;
   if (http::probeReadable(Socket) != http::Readable::Bytes)
     return;
-  if (hasEventEnd(Socket)) {
+  if (hasEventEnd(Socket, Suspended_->Parser->is_header_done())) {
     SuspendedSendsAgain_ = true;
     Code Ignored;
     if (ActiveConnection_)
@@ -73,7 +80,8 @@
 
 http::Task<AttemptResult> Exchange::resumeSuspended() {
   const std::unique_ptr<SuspendedAttempt> Attempt = std::move(Suspended_);
-  const EndpointRef Endpoint = Attempt->Endpoint;
+  const EndpointRef Endpoint = Attempt->Chosen.Endpoints.front();
+  const bool IsHeadRead = Attempt->Parser->is_header_done();
   Attempt->PeekTimer.reset();
   Code Ignored; // ends watchSuspended()
   Attempt->Connection->Socket.cancel(Ignored);
@@ -83,25 +91,31 @@
   Reservations_ = std::move(Attempt->Memory);
   ActiveConnection_ = Attempt->Connection.get();
   EndpointTimedOut_ = false;
-  IsRelaying_ = true;
+  IsRelaying_ = IsHeadRead;
   FailureCause_.clear();
-  EndpointFraming_ = framingOf(*Attempt->Parser);
+  EndpointFraming_.reset();
+  if (IsHeadRead)
+    EndpointFraming_ = framingOf(*Attempt->Parser);
+  // The attempt in between may have brought the head of another answer.
+  if (IsHeadRead && !AnswerStarted_)
+    AnswerHead_ = makeStreamHead(*Attempt->Parser);
   State_.Log.write("attempt_resumed", State_.now(), [&](LogLine &Line) {
     Line.field("id", RequestHead_.AttemptId)
         .field("endpoint", Endpoint->Entry.Id);
   });
-  const AttemptResult Result =
-      co_await relayStream(*Attempt->Connection, *Attempt->Parser);
+  AttemptResult Result = AttemptResult::Failed;
+  if (IsHeadRead) {
+    Result = co_await relayStream(*Attempt->Connection, *Attempt->Parser);
+    endRelay(Attempt->Chosen, Result, std::move(Attempt->Connection),
+             std::move(Attempt->Parser), Attempt->Sending);
+  } else {
+    Result = co_await receive(Attempt->Chosen, Attempt->Connection,
+                              Attempt->Sending, std::move(Attempt->Parser));
+  }
   ActiveConnection_ = nullptr;
   IsRelaying_ = false;
   setEndpointDeadline(TimePoint::max());
   logAttemptEnd(Endpoint, Result);
-  if (Result == AttemptResult::Suspended)
-    suspend(Endpoint, std::move(Attempt->Connection),
-            std::move(Attempt->Parser), std::move(Attempt->Sending));
-  else
-    finishAttempt(Endpoint, Result, std::move(Attempt->Connection),
-                  *Attempt->Parser, *Attempt->Sending);
   releaseReservations();
   co_return Result;
 }
--- a/tests/process/gateway_silence_test.py
+++ b/tests/process/gateway_silence_test.py
@@ -123,11 +123,20 @@
         self.assertEqual(self.ask("/stream/x")[::2], (200, EVENTS))
 
     # Guards against a late first event that is given up for an engine that then refuses.
-    @unittest.skip("known failure, see KNOWN-RED.txt")
     def test_a_late_first_event_is_kept_until_another_engine_answers(self):
         self.share_script(self.llm, ["late:4", "refuse"])
         self.assertEqual(self.ask("/stream/x")[::2], (200, EVENTS))
 
+    # Guards against a late answer that gets the head of another one, which brought no event.
+    def test_a_late_first_event_keeps_the_head_of_its_answer(self):
+        for other in ("unframed_none", "error"):
+            with self.subTest(other):
+                self.share_script(self.llm, ["late_event:4", other])
+                status, fields, body = self.ask("/stream/x")
+                self.assertEqual((status, body), (200, EVENTS))
+                late = [each for each in self.llm if each.requests[0]["behaviour"].startswith("late_event")]
+                self.assertEqual(fields["Response-Signature"], late[0].identity)
+
     # Guards against streams that are broken off because no other engine is free at that very moment.
     def test_a_broken_stream_waits_for_an_engine_that_can_resume_it(self):
         self.leave_one_engine()
--- a/tests/standins/users_platform/replica.py
+++ b/tests/standins/users_platform/replica.py
@@ -38,7 +38,7 @@
     "unsigned", "cut_head" (closes in the middle of its answer's head), "foreign"
     (an answer to another request first), "mute", "error" (its own 500),
     "unframed" (ends with its connection), "late:S" (events after S seconds),
-    "pause:S" (S seconds between two events), "slow:S" (a body that takes S
+    "late_event:S" (the same, but the head at once), "pause:S" (S seconds between two events), "slow:S" (a body that takes S
     seconds), "large" (a body of 16 MiB), "unframed_events" (events that end with
     the connection), "unframed_cut" (the same, in the middle of an event),
     "unframed_reset" (the same, by a reset), "unframed_none" (no event),
@@ -218,6 +218,8 @@
         elif behaviour.startswith("late:"):
             time.sleep(float(behaviour[5:]))
             return self._stream(connection, fields)
+        elif behaviour.startswith("late_event:"):
+            return self._stream(connection, fields, delay=float(behaviour[11:]))
         elif behaviour.startswith("pause:"):
             return self._stream(connection, fields, pause=float(behaviour[6:]))
         elif behaviour.startswith("slow:"):
@@ -297,11 +299,12 @@
         connection.sendall(self._head("200 OK", fields, head) + f"{len(text):x}\r\n{text}\r\n".encode())
         return False
 
-    def _stream(self, connection, fields, cut=False, pause=0):
-        """Six events; the ids go on after Last-Event-Id. `pause`: seconds before the third."""
+    def _stream(self, connection, fields, cut=False, pause=0, delay=0):
+        """Six events; the ids go on after Last-Event-Id. `delay`: seconds before the first, `pause`: before the third."""
         connection.sendall(self._head("200 OK", fields, [f"Response-Signature: {self.identity}",
                                                          "Content-Type: text/event-stream",
                                                          "Transfer-Encoding: chunked"]))
+        time.sleep(delay)
         first = int(fields.get("last-event-id", 0)) + 1
         for number in range(first, 7):
             event = f"id: {number}\ndata: token {number}\n\n".encode()
