--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -78,8 +78,9 @@
 
 /// Serves one request of a caller. Routing, placement and the loop over
 /// attempts are in exchange.cpp, one attempt at an endpoint is in
-/// exchange_attempt.cpp, attempts with silent endpoints in
-/// exchange_suspended.cpp, and the answer to the caller in exchange_answer.cpp.
+/// exchange_attempt.cpp, what the endpoint answers in exchange_receive.cpp,
+/// attempts with silent endpoints in exchange_suspended.cpp, and the answer to
+/// the caller in exchange_answer.cpp.
 class Exchange : public std::enable_shared_from_this<Exchange> {
 public:
   Exchange(GatewayState &State, Tcp::socket &Caller, ReceivedRequest &Request)
