Test that a slow caller sees that a long stream was broken off

Cause: bytes of a broken answer may wait in the gateway long after the endpoint has closed; no test had such a caller.

--- a/tests/process/gateway_framing_test.py
+++ b/tests/process/gateway_framing_test.py
@@ -2,6 +2,7 @@
 
 import signal
 import socket
+import time
 import unittest
 
 from gateway_fixture import EVENTS, KEY, GatewayCase, make_config, route
@@ -96,6 +97,26 @@
                 self.share_script(replicas, [behaviour])
                 self.assertIn(self.ask(path, body)[0], (0, 502))
 
+    # Guards against a broken stream that looks whole to a caller that reads long after the endpoint has closed.
+    def test_a_broken_stream_looks_incomplete_to_a_slow_caller(self):
+        events = b"".join(b"id: %d\ndata: %s\n\n" % (number, b"x" * 2000) for number in range(1, 3000))
+        for each in self.llm:
+            each.script = ["raw"]
+            each.raw = lambda fields: (f"HTTP/1.1 200 OK\r\nAttempt-Id: {fields['attempt-id']}\r\n"
+                                       "Response-Signature: s\r\n\r\n").encode() + events + b"id: 3000\ndata: xx"
+        with socket.socket() as peer:
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+            peer.settimeout(5)
+            peer.connect((self.gateway.host, self.gateway.port))
+            peer.sendall(f"POST /once/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: slow\r\nContent-Length: 0\r\n"
+                         f"Token-Counts: 5000,300\r\nAuthorization: Bearer {KEY}\r\n\r\n".encode())
+            time.sleep(2)
+            answer = b""
+            while piece := peer.recv(65536):
+                answer += piece
+        self.assertIn(b"id: 2999\n", answer)
+        self.assertFalse(answer.endswith(b"0\r\n\r\n"))
+
     def test_a_stream_that_ends_inside_an_event_is_resumed_elsewhere(self):
         for behaviour in self.BROKEN:
             self.share_script(self.llm, [behaviour, "unframed_events"])
