--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -36,7 +36,7 @@
   Failed,       ///< may have run; nothing went to the caller
   FailedAnswer, ///< the endpoint's own error answer, kept for the caller
   Broken,       ///< interrupted after a part went to the caller
-  Suspended,    ///< silent after a part went to the caller; may go on later
+  Suspended,    ///< silent, before or after a part of a stream; may go on later
 };
 
 std::string_view nameOf(AttemptResult Result);
