--- a/src/gateway/exchange_receive.cpp
+++ b/src/gateway/exchange_receive.cpp
@@ -127,8 +127,10 @@
   EndpointHead Answer;
   const std::optional<AttemptResult> Ended =
       co_await readAnswerHead(Endpoint, *Connection, Parser, Answer);
-  if (Ended == AttemptResult::Suspended)
+  if (Ended == AttemptResult::Suspended) {
     suspend(Chosen, std::move(Connection), std::move(Parser), Sending);
+    co_return AttemptResult::Suspended;
+  }
   if (Ended)
     co_return *Ended;
   EndpointFraming_ = framingOf(*Parser);
