Read the era of the store from its answers

The store may come back from an older copy; the header Store-Era counts these restores. Nothing uses the era yet.

--- a/include/cassiashed/catalog/table_replica.h
+++ b/include/cassiashed/catalog/table_replica.h
@@ -18,6 +18,10 @@
 inline constexpr int TableCount = 3;
 std::string_view nameOf(Table Value);
 
+/// Highest era of the store that is believed. The era rises by one at each
+/// restore; a damaged value must not make all later answers look old.
+inline constexpr std::uint64_t MaxStoreEra = 1'000'000'000;
+
 struct Row {
   std::string Key;
   std::string Value;
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -22,6 +22,9 @@
   StoreStatus Status = StoreStatus::Unreachable;
   std::vector<catalog::Row> Rows;
   std::uint64_t Version = 0; ///< store version up to which Rows are complete
+  /// Era of the store at its answer, also at one that refuses. Versions of
+  /// different eras are not comparable.
+  std::uint64_t Era = 0;
   /// The store's steady clock when it responded, if stated.
   std::optional<Duration> StoreTime;
   std::string Reason; ///< of a failure, for the log
@@ -32,7 +35,7 @@
 public:
   virtual ~StoreClient() = default;
 
-  /// Reads all rows of a table.
+  /// Reads all rows of a table, of one era.
   virtual http::Task<StoreRows> readAll(catalog::Table From) = 0;
   /// Long poll for rows changed after version `After`. Returns as soon as there
   /// is one, or without rows after `Wait`.
