--- a/include/cassiashed/catalog/table_freshness.h
+++ b/include/cassiashed/catalog/table_freshness.h
@@ -35,6 +35,10 @@
   /// the store's clock showed `StoreTime`. A delay of the message is harmless,
   /// since only that time is used.
   void recordPeerSnapshot(Duration StoreTime, BootTime Now);
+  /// The store came back from an older copy: its clock may differ, so it counts
+  /// as unknown until the store's next answer. The time up to which the replica
+  /// was complete remains true.
+  void beginEra() { Clock_ = StoreClock(); }
   /// Whether `recordPeerSnapshot` would make this replica fresher.
   bool wouldImprove(Duration StoreTime, BootTime Now) const;
 
--- a/src/catalog/table_replica.cpp
+++ b/src/catalog/table_replica.cpp
@@ -64,7 +64,9 @@
 
 std::vector<Row> TableReplica::mergeFromPeer(RowBatch Batch) {
   if (Batch.Whole)
-    return replaceAll(std::move(Batch.Rows), Batch.UpTo);
+    return replaceAll(std::move(Batch.Rows), Batch.UpTo, Batch.Era);
+  if (Batch.Era != Coverage_.Era)
+    return {};
   const std::uint64_t LastChange = newestVersion(Batch.Rows, Batch.UpTo);
   std::vector<Row> Applied = applyNewer(std::move(Batch.Rows), Batch.UpTo);
   if (Coverage_.UpTo >= Batch.After)
@@ -72,8 +74,41 @@
   return Applied;
 }
 
+std::vector<Row> TableReplica::beginEra(std::vector<Row> Listed,
+                                        std::uint64_t Version,
+                                        std::uint64_t Era) {
+  std::map<std::string, Row> Before;
+  Before.swap(Rows_);
+  Coverage_ = RowCoverage();
+  Coverage_.Era = Era;
+  std::vector<Row> Applied;
+  for (Row &Entry : Listed) {
+    if (Entry.Removed)
+      Entry.Value.clear();
+    const auto Known = Before.find(Entry.Key);
+    const bool IsKnown = Known != Before.end() && !Known->second.Removed;
+    if (IsKnown ? Entry.Removed || Known->second.Value != Entry.Value
+                : !Entry.Removed)
+      Applied.push_back(Entry);
+    if (IsKnown)
+      Before.erase(Known);
+    Rows_[Entry.Key] = std::move(Entry);
+  }
+  for (const auto &[Key, Known] : Before)
+    if (!Known.Removed)
+      Applied.push_back({Key, "", Version, true});
+  Coverage_.WholeReadVersion = Version;
+  setComplete(Version, 0);
+  return Applied;
+}
+
 std::vector<Row> TableReplica::replaceAll(std::vector<Row> Rows,
-                                          std::uint64_t Version) {
+                                          std::uint64_t Version,
+                                          std::uint64_t Era) {
+  if (Era < Coverage_.Era)
+    return {};
+  if (Era > Coverage_.Era)
+    return beginEra(std::move(Rows), Version, Era);
   if (Version < Coverage_.UpTo)
     return applyNewer(std::move(Rows), Version); // the replica is newer
   std::set<std::string> ListedKeys;
@@ -97,15 +132,17 @@
 bool TableReplica::recordPeerCoverage(const RowCoverage &Other) {
   // The other node may not know of removals up to the version of its last read
   // of the whole table, so LastChange alone is not sufficient.
-  if (Coverage_.UpTo < std::max(Other.LastChange, Other.WholeReadVersion))
+  if (Other.Era != Coverage_.Era ||
+      Coverage_.UpTo < std::max(Other.LastChange, Other.WholeReadVersion))
     return false;
   setComplete(Other.UpTo, Other.LastChange);
   return true;
 }
 
-RowBatch TableReplica::batchAfter(std::uint64_t After) const {
-  RowBatch Batch{After, Coverage_.UpTo, {}};
-  Batch.Whole = After < Coverage_.WholeReadVersion;
+RowBatch TableReplica::batchAfter(std::uint64_t After,
+                                  std::uint64_t Era) const {
+  RowBatch Batch{After, Coverage_.UpTo, {}, false, Coverage_.Era};
+  Batch.Whole = Era != Coverage_.Era || After < Coverage_.WholeReadVersion;
   Batch.Rows = changesAfter(Batch.Whole ? 0 : After);
   return Batch;
 }
--- a/src/gateway/catalog_updater.cpp
+++ b/src/gateway/catalog_updater.cpp
@@ -15,6 +15,11 @@
 /// seconds too.
 constexpr Duration StoreRecoveryWindow{2500};
 constexpr Duration RemovalDelay{1700};
+/// An order that the store lost with a restore stays in force for this long:
+/// the operator writes it again, and a zone that returns too early gets
+/// requests against an acknowledged order. One that stays out too long only
+/// lacks capacity.
+constexpr Duration LostOrderRetention{15000};
 
 } // namespace
 
@@ -23,14 +28,18 @@
 }
 
 void CatalogUpdater::apply(Table TableId, const std::vector<Row> &Rows,
-                           TimePoint StoreRegainedAt) {
+                           TimePoint StoreRegainedAt, bool BeginsEra) {
+  // What an earlier restore lost was perhaps written again and lost once more.
+  if (BeginsEra && TableId == Table::Operator)
+    for (auto &[Zone, KeptUntil] : LostZoneOrders_)
+      KeptUntil = State_.now() + LostOrderRetention;
   for (const Row &RowChange : Rows)
     switch (TableId) {
     case Table::Operator:
-      applyOperatorRow(RowChange);
+      applyOperatorRow(RowChange, BeginsEra);
       break;
     case Table::Endpoints:
-      applyEndpointRow(RowChange, StoreRegainedAt);
+      applyEndpointRow(RowChange, StoreRegainedAt, BeginsEra);
       break;
     case Table::Nodes:
       applyNodeRow(RowChange);
@@ -39,13 +48,26 @@
   prepareTimelines();
 }
 
-void CatalogUpdater::applyOperatorRow(const Row &RowChange) {
+void CatalogUpdater::returnZone(const std::string &Zone,
+                                std::uint64_t Version) {
+  State_.Directory.setZoneOut(Zone, false);
+  logEvent("zone_in").field("zone", Zone).field("row", Version);
+}
+
+void CatalogUpdater::applyOperatorRow(const Row &RowChange, bool BeginsEra) {
   if (RowChange.Removed) {
     const std::string Zone = State_.Protocol.zoneOfOperatorKey(RowChange.Key);
-    if (!Zone.empty()) {
-      State_.Directory.setZoneOut(Zone, false);
-      logEvent("zone_in").field("zone", Zone).field("row", RowChange.Version);
+    if (Zone.empty())
+      return;
+    if (BeginsEra) {
+      LostZoneOrders_[Zone] = State_.now() + LostOrderRetention;
+      logWarning("zone_order_lost")
+          .field("zone", Zone)
+          .field("kept_ms", LostOrderRetention.count());
+      return;
     }
+    LostZoneOrders_.erase(Zone);
+    returnZone(Zone, RowChange.Version);
     return;
   }
   std::string Reason;
@@ -70,6 +92,7 @@
         .field("row", RowChange.Version)
         .field("routes", State_.Config->Routes.size());
   } else if (const auto *Order = std::get_if<ZoneOutOrder>(&*Decoded)) {
+    LostZoneOrders_.erase(Order->Zone);
     State_.Directory.setZoneOut(Order->Zone, true);
     logEvent("zone_out")
         .field("zone", Order->Zone)
@@ -78,21 +101,37 @@
 }
 
 void CatalogUpdater::applyEndpointRow(const Row &RowChange,
-                                      TimePoint StoreRegainedAt) {
+                                      TimePoint StoreRegainedAt,
+                                      bool BeginsEra) {
   const TimePoint Now = State_.now();
+  if (!BeginsEra)
+    Restored_.forget(RowChange.Key);
   if (RowChange.Removed) {
     if (!State_.Directory.find(RowChange.Key))
       return;
-    if (Now - StoreRegainedAt < StoreRecoveryWindow)
+    if (BeginsEra || Now - StoreRegainedAt < StoreRecoveryWindow)
       PendingRemovals_.emplace(RowChange.Key, Now + RemovalDelay);
     else
       removeEndpoint(RowChange.Key, "left");
     return;
   }
-  PendingRemovals_.erase(RowChange.Key);
   std::string Reason;
   const std::optional<catalog::Endpoint> Decoded =
       State_.Protocol.decodeEndpoint(RowChange, Reason);
+  const catalog::EndpointRef Before = State_.Directory.find(RowChange.Key);
+  if (BeginsEra && Decoded) {
+    const bool IsLeaving = PendingRemovals_.count(RowChange.Key) != 0;
+    const HeldReason Held =
+        Restored_.hold(RowChange, *Decoded, Before, IsLeaving, Now);
+    if (Held != HeldReason::None) {
+      logWarning("endpoint_row_held")
+          .field("endpoint", RowChange.Key)
+          .field("row", RowChange.Version)
+          .field("reason", nameOf(Held));
+      return;
+    }
+  }
+  PendingRemovals_.erase(RowChange.Key);
   if (!Decoded) {
     logWarning("endpoint_row_rejected")
         .field("endpoint", RowChange.Key)
@@ -101,7 +140,6 @@
     removeEndpoint(RowChange.Key, "registration cannot be decoded");
     return;
   }
-  const catalog::EndpointRef Before = State_.Directory.find(RowChange.Key);
   const EndpointDirectory::Change Change = State_.Directory.put(*Decoded, Now);
   if (Change == EndpointDirectory::Change::Restarted) {
     State_.Load.removeEndpoint(RowChange.Key);
@@ -126,6 +164,7 @@
   const catalog::EndpointRef Known = State_.Directory.find(Id);
   if (!Known)
     return;
+  Restored_.recordRemoval(Known->Entry, State_.now());
   State_.Directory.remove(Id);
   State_.Pool.closeIdle(Known->Number);
   State_.Load.removeEndpoint(Id);
@@ -166,14 +205,25 @@
 }
 
 void CatalogUpdater::tick(TimePoint Now) {
+  for (auto Lost = LostZoneOrders_.begin(); Lost != LostZoneOrders_.end();) {
+    if (Lost->second > Now) {
+      ++Lost;
+      continue;
+    }
+    returnZone(Lost->first, 0);
+    Lost = LostZoneOrders_.erase(Lost);
+  }
+  for (const Row &Due : Restored_.takeDue(Now))
+    applyEndpointRow(Due, TimePoint(), false);
   for (auto Removal = PendingRemovals_.begin();
        Removal != PendingRemovals_.end();) {
     if (Removal->second > Now) {
       ++Removal;
       continue;
     }
-    removeEndpoint(Removal->first, "expired while the store was unavailable");
+    const std::string Id = Removal->first;
     Removal = PendingRemovals_.erase(Removal);
+    removeEndpoint(Id, "expired while the store was unavailable");
   }
 }
 
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,13 +4,14 @@
 #include "gateway/caller_server.h"
 #include "gateway/catalog_updater.h"
 #include "gateway/exchange.h"
+#include "gateway/node_row.h"
+#include "gateway/peer_rows.h"
 #include "gateway/row_follower.h"
 #include "gateway/row_messages.h"
 #include "gateway/shared_placement.h"
 #include "http/peer_limits.h"
 #include "http/server.h"
 #include <boost/asio/signal_set.hpp>
-#include <charconv>
 #include <csignal>
 #include <filesystem>
 
@@ -29,7 +30,6 @@
 /// Time left before SIGKILL when requests without an answer get one that says
 /// so. Answers that have started go on until `ShutdownMargin`.
 constexpr Duration FinalAnswerMargin{800};
-constexpr Duration JoinRetryDelay{1000};
 
 class Gateway {
 public:
@@ -66,12 +66,14 @@
     const GatewayIdentity &Self = State_.Settings.Gateway;
     if (!startNodes(Reason))
       return false;
-    RowFollower_ =
-        startRowFollower(State_, *Adapter_.Store,
-                         [this](catalog::Table TableId,
-                                const std::vector<catalog::Row> &Changes) {
-                           onRows(TableId, Changes);
-                         });
+    NodeRow_ = makeNodeRow(State_, *Adapter_.Store,
+                           [this](const std::vector<catalog::Row> &Rows) {
+                             onRows(catalog::Table::Nodes, Rows, false);
+                           });
+    RowFollower_ = startRowFollower(
+        State_, *Adapter_.Store,
+        [this](catalog::Table TableId, const std::vector<catalog::Row> &Changes,
+               bool BeginsEra) { onRows(TableId, Changes, BeginsEra); });
     Callers_ = startCallerServer(State_, Self.Listen, Reason);
     if (!Callers_)
       return false;
@@ -87,7 +89,7 @@
           return State_.connectionShare(Endpoint) -
                  State_.Pool.busyCount(Endpoint.Number);
         });
-    asio::co_spawn(Context_, joinNodes(), asio::detached);
+    NodeRow_->start();
     watchSignals();
     recordSettingsTime();
     tick();
@@ -140,13 +142,16 @@
       RowFollower_->mergeFromPeer(catalog::Table::Endpoints, std::move(Rows));
     };
     Events.EndpointRowsAfter = [this](std::uint64_t After) {
-      return RowFollower_->rowsAfter(catalog::Table::Endpoints, After);
+      const catalog::Table Endpoints = catalog::Table::Endpoints;
+      return RowFollower_->rowsAfter(Endpoints,
+                                     {RowFollower_->era(Endpoints), After});
     };
     Events.OperatorTableAge = [this] {
       return State_.OperatorFreshness.age(BootClock::now());
     };
     Events.OperatorTableConfirmed = [this](BootTime AskedAt, Duration Age) {
-      State_.OperatorFreshness.recordPeerAnswer(AskedAt, Age);
+      if (!RowFollower_->isDoubtful(catalog::Table::Operator))
+        State_.OperatorFreshness.recordPeerAnswer(AskedAt, Age);
     };
     Events.OwnCoverage = [this] {
       return RowFollower_ ? RowFollower_->ownCoverage()
@@ -266,15 +271,12 @@
     return {200, {}, State_.Metrics->format()};
   }
 
-  /// `GET /rows/TABLE?after=VERSION`, sent by other nodes.
+  /// `GET /rows/TABLE?after=VERSION&era=ERA`, sent by other nodes.
   http::Response answerRowsRequest(const http::Request &Call) {
     const std::string_view Target = Call.Target;
-    std::uint64_t After = 0;
-    const std::size_t Query = Target.find("?after=");
-    if (Query != std::string_view::npos) {
-      const std::string_view Number = Target.substr(Query + 7);
-      std::from_chars(Number.data(), Number.data() + Number.size(), After);
-    }
+    const std::size_t Query = Target.find('?');
+    const catalog::StoreVersion After = parseRowsQuery(
+        Query == std::string_view::npos ? "" : Target.substr(Query));
     const std::string_view Path = Target.substr(0, Query);
     for (const catalog::Table Table :
          {catalog::Table::Operator, catalog::Table::Endpoints})
@@ -283,45 +285,19 @@
     return {404, {}, "no such table\n"};
   }
 
-  void onRows(catalog::Table TableId,
-              const std::vector<catalog::Row> &Changes) {
+  void onRows(catalog::Table TableId, const std::vector<catalog::Row> &Changes,
+              bool BeginsEra) {
     const bool WasReady = isReady();
-    Updater_.apply(TableId, Changes, RowFollower_->storeRegainedAt());
+    Updater_.apply(TableId, Changes, RowFollower_->storeRegainedAt(),
+                   BeginsEra);
+    if (TableId != catalog::Table::Nodes)
+      NodeRow_->noteEra(RowFollower_->era(TableId));
     if (!WasReady && isReady())
       logEvent("ready")
           .field("config", State_.Config->Version)
           .field("endpoints", State_.Directory.all().size());
   }
 
-  /// Writes this node's address to the store, then reads those of the others.
-  /// In this order, of two nodes that start at once, the later writer finds the
-  /// other.
-  http::Task<void> joinNodes() {
-    const GatewayIdentity &Self = State_.Settings.Gateway;
-    bool Written = false;
-    while (true) {
-      StoreRows Result;
-      if (!Written)
-        Result = co_await Adapter_.Store->writeNode(
-            Self.Name,
-            encodeNodeRow(Self.Internal.Host, State_.Settings.Limits.CpuShare));
-      else
-        Result = co_await Adapter_.Store->readAll(catalog::Table::Nodes);
-      if (Result.Status != StoreStatus::Ok) {
-        logWarning("nodes_table_failed")
-            .field("step", Written ? "read" : "write")
-            .field("reason", Result.Reason);
-        co_await http::sleepFor(JoinRetryDelay);
-        continue;
-      }
-      if (Written) {
-        onRows(catalog::Table::Nodes, Result.Rows);
-        co_return;
-      }
-      Written = true;
-    }
-  }
-
   void tick() {
     const TimePoint Now = State_.now();
     Updater_.tick(Now);
@@ -452,6 +428,10 @@
     Metrics.setGauge("messages_unsent",
                      static_cast<double>(State_.Nodes->unsentMessages()));
     Metrics.setGauge("store_answers", RowFollower_->storeAnswers() ? 1 : 0);
+    Metrics.setGauge("store_era",
+                     static_cast<double>(std::max(
+                         RowFollower_->era(catalog::Table::Operator),
+                         RowFollower_->era(catalog::Table::Endpoints))));
     Metrics.setGauge("ready", isReady() ? 1 : 0);
     setAge("operator_rows_age_seconds", State_.OperatorFreshness);
     setAge("endpoint_rows_age_seconds", State_.EndpointFreshness);
@@ -466,6 +446,7 @@
   asio::signal_set Reload_;
   asio::steady_timer TickTimer_;
   std::unique_ptr<RowFollower> RowFollower_;
+  std::unique_ptr<NodeRow> NodeRow_;
   std::unique_ptr<CallerServer> Callers_;
   std::unique_ptr<http::Server> Ready_;
   std::unique_ptr<http::Server> Internal_;
--- a/src/gateway/node_messages.cpp
+++ b/src/gateway/node_messages.cpp
@@ -41,20 +41,24 @@
 }
 
 CoverageMessage toCoverageMessage(const CoverageReport &Report) {
-  return {static_cast<std::uint32_t>(Report.Table), Report.Coverage.UpTo,
-          Report.Coverage.LastChange, Report.Coverage.WholeReadVersion,
-          Report.StoreTime.count()};
+  return {static_cast<std::uint32_t>(Report.Table),
+          Report.Coverage.UpTo,
+          Report.Coverage.LastChange,
+          Report.Coverage.WholeReadVersion,
+          Report.StoreTime.count(),
+          Report.Coverage.Era};
 }
 
 std::optional<CoverageReport> toCoverageReport(const CoverageMessage &Message) {
   if (Message.Table >= catalog::TableCount ||
       Message.LastChange > Message.UpTo ||
       Message.WholeReadVersion > Message.UpTo || Message.StoreTimeMs < 0 ||
-      Message.StoreTimeMs > MaxStoreTimeMs)
+      Message.StoreTimeMs > MaxStoreTimeMs ||
+      Message.Era > catalog::MaxStoreEra)
     return std::nullopt;
   return CoverageReport{
       static_cast<catalog::Table>(Message.Table),
-      {Message.UpTo, Message.LastChange, Message.WholeReadVersion},
+      {Message.UpTo, Message.LastChange, Message.WholeReadVersion, Message.Era},
       Duration(Message.StoreTimeMs)};
 }
 
@@ -89,6 +93,11 @@
     Reason = "format " + std::to_string(Message->Format) + " is not supported";
     return std::nullopt;
   }
+  if (Message && std::max({Message->OperatorEra, Message->EndpointEra,
+                           Message->RowsEra}) > catalog::MaxStoreEra) {
+    Reason = "an era of the store is out of range";
+    return std::nullopt;
+  }
   if (Message && !std::all_of(Message->PlacementReplies.begin(),
                               Message->PlacementReplies.end(), isInRange)) {
     Reason = "a placement reply has a value out of range";
--- a/src/gateway/node_messages.h
+++ b/src/gateway/node_messages.h
@@ -16,7 +16,7 @@
 
 /// Increased when the meaning of a message changes. Messages of other formats
 /// are ignored.
-inline constexpr std::uint32_t NodeMessageFormat = 1;
+inline constexpr std::uint32_t NodeMessageFormat = 2;
 
 /// The load of a request on one of its endpoints.
 struct AssignmentPart {
@@ -67,7 +67,8 @@
   std::uint64_t LastChange = 0;
   std::uint64_t WholeReadVersion = 0;
   std::int64_t StoreTimeMs = 0;
-  MSGPACK_DEFINE(Table, UpTo, LastChange, WholeReadVersion, StoreTimeMs)
+  std::uint64_t Era = 0;
+  MSGPACK_DEFINE(Table, UpTo, LastChange, WholeReadVersion, StoreTimeMs, Era)
 };
 
 /// Content that was running on an endpoint when the endpoint crashed.
@@ -114,12 +115,25 @@
   std::uint64_t RowsUpTo = 0;
   /// In heartbeats: coverage of the tables that the sender follows.
   std::vector<CoverageMessage> Coverage;
+  /// Eras of the store to which `LastOperatorChange`, `LastEndpointChange` and
+  /// `EndpointRows` belong.
+  std::uint64_t OperatorEra = 0;
+  std::uint64_t EndpointEra = 0;
+  std::uint64_t RowsEra = 0;
+
+  catalog::StoreVersion lastOperatorChange() const {
+    return {OperatorEra, LastOperatorChange};
+  }
+  catalog::StoreVersion lastEndpointChange() const {
+    return {EndpointEra, LastEndpointChange};
+  }
   MSGPACK_DEFINE(Format, Node, Incarnation, LastOperatorChange,
                  LastEndpointChange, Following, EndpointRows, Started,
                  FirstTokens, Finished, Crashes, UnresponsiveEndpoints,
                  KnownNodes, FreshnessQueryAt, FreshnessReplyTo,
                  OperatorTableAgeMs, CpuShare, KnowsFleetLoad, PlacementQueries,
-                 PlacementReplies, Outcomes, RowsAfter, RowsUpTo, Coverage)
+                 PlacementReplies, Outcomes, RowsAfter, RowsUpTo, Coverage,
+                 OperatorEra, EndpointEra, RowsEra)
 };
 
 AssignmentMessage toAssignmentMessage(const balancing::Assignment &Assignment);
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -111,14 +111,17 @@
   }
   void removeNode(const std::string &Name) override { Peers_.remove(Name); }
 
-  void setLastChanges(std::uint64_t LastOperatorChange,
-                      std::uint64_t LastEndpointChange) override {
+  void setLastChanges(catalog::StoreVersion LastOperatorChange,
+                      catalog::StoreVersion LastEndpointChange) override {
     const bool IsNewer = LastOperatorChange > LastOperatorChange_;
+    const bool IsNewerEra = LastOperatorChange.Era > LastOperatorChange_.Era ||
+                            LastEndpointChange.Era > LastEndpointChange_.Era;
     LastOperatorChange_ = LastOperatorChange;
     LastEndpointChange_ = LastEndpointChange;
     // Followers push endpoint rows to all nodes. Operator rows are pulled from
     // them, so the heartbeat has to report the new version at once.
-    if (IsNewer && Following_ && hasRoles())
+    // A table of a new era is always pulled.
+    if (Following_ && ((IsNewer && hasRoles()) || IsNewerEra))
       sendHeartbeat();
   }
   bool hasRoles() const override { return Peers_.hasRoles(); }
@@ -271,7 +274,8 @@
         std::find(FreshnessQueries_.begin(), FreshnessQueries_.end(),
                   Message.FreshnessReplyTo);
     if (Query == FreshnessQueries_.end() ||
-        Message.LastOperatorChange > LastOperatorChange_ ||
+        Message.OperatorEra != LastOperatorChange_.Era ||
+        Message.lastOperatorChange() > LastOperatorChange_ ||
         Message.OperatorTableAgeMs < 0)
       return;
     Events_.OperatorTableConfirmed(BootTime(std::chrono::nanoseconds(*Query)),
@@ -311,7 +315,8 @@
     for (const PlacementReply &Reply : Message->PlacementReplies)
       Events_.Reply(Reply);
     if (!Message->EndpointRows.empty()) {
-      RowBatch Batch{Message->RowsAfter, Message->RowsUpTo, {}};
+      RowBatch Batch{
+          Message->RowsAfter, Message->RowsUpTo, {}, false, Message->RowsEra};
       for (const EndpointRowChange &Change : Message->EndpointRows)
         Batch.Rows.push_back(
             {Change.Key, Change.Value, Change.Version, Change.Removed});
@@ -343,8 +348,8 @@
     From.Following = Message.Following;
     From.KnowsFleetLoad = Message.KnowsFleetLoad;
     From.Rank = {Message.CpuShare, hashBytes(Message.Node)};
-    From.LastOperatorChange = Message.LastOperatorChange;
-    From.LastEndpointChange = Message.LastEndpointChange;
+    From.LastOperatorChange = Message.lastOperatorChange();
+    From.LastEndpointChange = Message.lastEndpointChange();
   }
 
   void handleRequestReports(const NodeMessage &Message, std::uint32_t Origin) {
@@ -382,8 +387,8 @@
   }
 
   void scheduleCatchUp(const NodeMessage &Message) {
-    const bool IsNewer = Message.LastOperatorChange > LastOperatorChange_ ||
-                         Message.LastEndpointChange > LastEndpointChange_;
+    const bool IsNewer = Message.lastOperatorChange() > LastOperatorChange_ ||
+                         Message.lastEndpointChange() > LastEndpointChange_;
     if (!IsNewer || CatchUpScheduled_)
       return;
     CatchUpScheduled_ = true;
@@ -406,10 +411,10 @@
 
   /// Reads rows newer than `Own` from a random one of the nodes that hold the
   /// newest.
-  void catchUp(catalog::Table TableId, std::uint64_t Peer::*Row,
-               std::uint64_t Own) {
+  void catchUp(catalog::Table TableId, catalog::StoreVersion Peer::*Row,
+               catalog::StoreVersion Own) {
     const TimePoint Now = now();
-    std::uint64_t Newest = Own;
+    catalog::StoreVersion Newest = Own;
     for (const auto &[Host, Node] : Peers_.all())
       if (PeerTable::isLive(Node, Now))
         Newest = std::max(Newest, Node.*Row);
@@ -417,8 +422,9 @@
       return;
     logEvent("rows_missing")
         .field("table", catalog::nameOf(TableId))
-        .field("complete", Own)
-        .field("newest", Newest);
+        .field("complete", Own.Version)
+        .field("newest", Newest.Version)
+        .field("era", Newest.Era);
     std::vector<const Peer *> Holders;
     for (const auto &[Host, Node] : Peers_.all())
       if (PeerTable::isLive(Node, Now) && Node.*Row == Newest)
@@ -486,8 +492,10 @@
     NodeMessage Message;
     Message.Node = Options_.Name;
     Message.Incarnation = Options_.Incarnation;
-    Message.LastOperatorChange = LastOperatorChange_;
-    Message.LastEndpointChange = LastEndpointChange_;
+    Message.LastOperatorChange = LastOperatorChange_.Version;
+    Message.LastEndpointChange = LastEndpointChange_.Version;
+    Message.OperatorEra = LastOperatorChange_.Era;
+    Message.EndpointEra = LastEndpointChange_.Era;
     Message.Following = Following_;
     Message.CpuShare = Options_.CpuShare;
     Message.KnowsFleetLoad = knowsFleetLoad();
@@ -616,8 +624,8 @@
   bool FlushScheduled_ = false;
   bool CatchUpScheduled_ = false;
   bool Following_ = false;
-  std::uint64_t LastOperatorChange_ = 0;
-  std::uint64_t LastEndpointChange_ = 0;
+  catalog::StoreVersion LastOperatorChange_;
+  catalog::StoreVersion LastEndpointChange_;
   UnsentCounters Unsent_;
   NodeMessage PendingReports_; ///< reports about requests, batched
   std::deque<std::uint64_t> FreshnessQueries_; ///< time stamps, newest last
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -81,8 +81,8 @@
   virtual void removeNode(const std::string &Name) = 0;
   /// Sets the versions of the newest changes of the tables up to which this
   /// node misses none. Every message carries them.
-  virtual void setLastChanges(std::uint64_t LastOperatorChange,
-                              std::uint64_t LastEndpointChange) = 0;
+  virtual void setLastChanges(catalog::StoreVersion LastOperatorChange,
+                              catalog::StoreVersion LastEndpointChange) = 0;
   /// Whether the fleet is so large that some nodes have roles for all: they
   /// follow tables at the store and place requests.
   virtual bool hasRoles() const = 0;
--- a/src/gateway/peer_table.h
+++ b/src/gateway/peer_table.h
@@ -2,6 +2,7 @@
 
 #include "cassiashed/balancing/placer_ranking.h"
 #include "cassiashed/base/clock.h"
+#include "cassiashed/catalog/table_replica.h"
 #include <boost/asio/ip/udp.hpp>
 #include <cstdint>
 #include <map>
@@ -24,8 +25,8 @@
   bool Following = false; ///< follows tables at the store and forwards changes
   bool KnowsFleetLoad = false; ///< has run long enough to place requests
   balancing::NodeRank Rank;
-  std::uint64_t LastOperatorChange = 0; ///< see NodeMessage
-  std::uint64_t LastEndpointChange = 0;
+  catalog::StoreVersion LastOperatorChange; ///< see NodeMessage
+  catalog::StoreVersion LastEndpointChange;
   TimePoint LastMessageAt;
   TimePoint SuspectUntil;
 };
--- a/src/gateway/row_broadcast.cpp
+++ b/src/gateway/row_broadcast.cpp
@@ -29,11 +29,15 @@
 
 void RowBroadcast::announce(const RowBatch &Batch) {
   if (!Pacer_.empty()) {
+    if (Batch.Era != PendingEra_)
+      PendingAfter_.reset();
+    PendingEra_ = Batch.Era;
     PendingAfter_ = std::min(PendingAfter_.value_or(Batch.After), Batch.After);
     return;
   }
   NodeMessage Message = Hooks_.MakeMessage();
   Message.RowsAfter = Batch.After;
+  Message.RowsEra = Batch.Era;
   std::size_t Bytes = 0;
   for (const catalog::Row &Row : Batch.Rows) {
     const std::size_t RowBytes = Row.Key.size() + Row.Value.size();
@@ -82,8 +86,9 @@
     return;
   const RowBatch Batch = Hooks_.RowsAfter(*PendingAfter_);
   PendingAfter_.reset();
-  // A whole table is not broadcast; nodes that lack it read it over HTTP.
-  if (!Batch.Whole)
+  // A whole table is not broadcast; nodes that lack it read it over HTTP. That
+  // goes for the table of a new era, too.
+  if (!Batch.Whole && Batch.Era == PendingEra_)
     announce(Batch);
 }
 
--- a/src/gateway/row_broadcast.h
+++ b/src/gateway/row_broadcast.h
@@ -40,6 +40,7 @@
   boost::asio::steady_timer Timer_;
   /// Rows after this version are sent when the pacer's queue is empty.
   std::optional<std::uint64_t> PendingAfter_;
+  std::uint64_t PendingEra_ = 0; ///< of that version
 };
 
 } // namespace cassiashed::gateway
--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -1,7 +1,8 @@
 #include "gateway/row_follower.h"
 
-#include "gateway/row_messages.h"
-#include "http/client.h"
+#include "cassiashed/catalog/table_copy.h"
+#include "gateway/follow_policy.h"
+#include "gateway/peer_rows.h"
 #include <array>
 #include <random>
 
@@ -9,24 +10,10 @@
 namespace {
 
 using catalog::Row;
+using catalog::RowsTaken;
 using catalog::Table;
 using catalog::TableReplica;
 
-/// How long the store holds a call open while nothing changes. Long, because
-/// each call is charged. A dead connection is noticed after this time at the
-/// latest, and usually earlier through the versions that other nodes report.
-constexpr Duration LongPollWait{20000};
-/// From this number of nodes on, a few followers read the operator's table for
-/// all. In smaller fleets every node reads it: followers whose calls the store
-/// leaves unanswered would delay a change for all nodes until the time-out.
-constexpr int MinNodesForOperatorFollowers = 100;
-/// If keys that cannot be confirmed are refused, the calls of the confirmers
-/// wait at most this fraction of the bound on revoked keys.
-constexpr double FailClosedWaitFraction = 0.2;
-/// The two best-ranked followers are confirmers: their reports confirm the
-/// copies of other nodes. The store holds the calls of each open for this
-/// fraction of the bound on changes of the table.
-constexpr std::array<double, 2> ConfirmerWaitFractions = {0.2, 0.4};
 /// For nodes that are no confirmers. Copies that are not confirmed are read
 /// from the store early enough for several attempts within the bound.
 constexpr catalog::RefreshOptions ReplicaRefresh = {.AskAgeFraction = 1,
@@ -58,31 +45,30 @@
 constexpr Duration RoleCheckPeriod{200};
 constexpr Duration InitialBackoff{100};
 constexpr Duration MaxBackoff{1500};
-/// Another node's rows of one table: some hundred of at most 64 KiB, or a large
-/// configuration. Nodes that ask at the same time share the link of the node
-/// that answers, so a read goes on as long as bytes arrive.
-constexpr http::FetchLimits PeerReadLimits = {.HeadTimeout = Duration(1000),
-                                              .PauseTimeout = Duration(1000),
-                                              .BodyTimeout = Duration(10000),
-                                              .MaxBytes = 16 * 1024 * 1024};
-
+/// Wait before the whole read that an answer of a later era calls for. Short,
+/// but the calls do not repeat without a pause if answers contradict each
+/// other.
+constexpr Duration EraReadDelay{10};
 using catalog::nameOf;
 
 /// Changes found by a read of the whole table. The batch does not follow on
 /// from an earlier version, so receivers stay incomplete until they read the
 /// rest.
-RowBatch unlinkedBatch(std::vector<Row> Changes, std::uint64_t Version) {
-  return {Version, Version, std::move(Changes)};
+RowBatch unlinkedBatch(std::vector<Row> Changes,
+                       const catalog::RowCoverage &Coverage) {
+  return {Coverage.UpTo, Coverage.UpTo, std::move(Changes), false,
+          Coverage.Era};
 }
 
 class Follower final : public RowFollower {
 public:
   Follower(GatewayState &State, StoreClient &Store, OnRows Notify)
-      : State_(State), Store_(Store), Notify_(std::move(Notify)) {}
+      : State_(State), Store_(Store), Notify_(std::move(Notify)),
+        Policy_(State) {}
 
   void start() {
     for (const Table TableId : FollowedTables)
-      asio::co_spawn(State_.Context, follow(TableId), asio::detached);
+      startFollowing(TableId, true);
   }
 
   void refreshOperatorTable() override { startRefresh(Table::Operator); }
@@ -90,9 +76,9 @@
   std::vector<CoverageReport> ownCoverage() const override {
     std::vector<CoverageReport> Reports;
     for (const Table TableId : FollowedTables)
-      if (stateOf(TableId).LastStoreTime)
+      if (copyOf(TableId).lastStoreTime())
         Reports.push_back({TableId, replica(TableId).coverage(),
-                           *stateOf(TableId).LastStoreTime});
+                           *copyOf(TableId).lastStoreTime()});
     return Reports;
   }
 
@@ -100,17 +86,15 @@
                           const http::Address &Peer) override {
     if (Report.Table == Table::Nodes)
       return;
-    const BootTime Now = BootClock::now();
-    catalog::TableFreshness &Freshness = freshness(Report.Table);
-    if (!Freshness.wouldImprove(Report.StoreTime, Now))
-      return;
     TableState &Own = stateOf(Report.Table);
-    if (Own.Replica.recordPeerCoverage(Report.Coverage)) {
-      Freshness.recordPeerSnapshot(Report.StoreTime, Now);
-      Own.NewerPeerCopy.reset();
-    } else {
+    const BootTime Now = BootClock::now();
+    const catalog::PeerProof Proof =
+        Own.Copy.recordPeerCoverage(Report.Coverage, Report.StoreTime, Now);
+    if (Proof == catalog::PeerProof::LacksRows)
       Own.NewerPeerCopy = {Peer, Report.StoreTime};
-    }
+    else if (Proof == catalog::PeerProof::Fresher)
+      Own.NewerPeerCopy.reset();
+    noteEra(Report.Coverage.Era);
   }
 
   void refreshIfStale() override {
@@ -129,22 +113,28 @@
 
   void mergeFromPeer(Table TableId, RowBatch Batch) override {
     const std::uint64_t Complete = replica(TableId).completeVersion();
-    if (Batch.After > Complete)
+    if (Batch.After > Complete && Batch.Era == replica(TableId).era())
       State_.Log.write("rows_gap", State_.now(), [&](LogLine &Line) {
         Line.field("table", nameOf(TableId))
             .field("complete", Complete)
             .field("after", Batch.After)
             .field("up_to", Batch.UpTo);
       });
-    publishChanges(TableId, replica(TableId).mergeFromPeer(std::move(Batch)),
-                   "peer");
+    takePeerRows(TableId, std::move(Batch), "peer");
   }
 
-  RowBatch rowsAfter(Table TableId, std::uint64_t After) const override {
-    return replica(TableId).batchAfter(After);
+  RowBatch rowsAfter(Table TableId,
+                     catalog::StoreVersion After) const override {
+    return replica(TableId).batchAfter(After.Version, After.Era);
+  }
+  std::uint64_t era(Table TableId) const override {
+    return replica(TableId).era();
+  }
+  bool isDoubtful(Table TableId) const override {
+    return copyOf(TableId).needsWholeRead();
   }
   bool hasRead(Table TableId) const override {
-    return replica(TableId).size() > 0;
+    return copyOf(TableId).hasRead();
   }
   bool storeAnswers() const override { return StoreAnswers_; }
   TimePoint storeRegainedAt() const override { return RegainedAt_; }
@@ -157,11 +147,12 @@
   };
 
   struct TableState {
-    TableReplica Replica;
-    /// The store's steady clock at its last answer.
-    std::optional<Duration> LastStoreTime;
+    explicit TableState(catalog::TableFreshness &Freshness) : Copy(Freshness) {}
+
+    catalog::TableCopy Copy;
     std::optional<PeerCopy> NewerPeerCopy;
-    BootTime RefreshTriedAt;         ///< when a refresh was last due
+    int Follower = 0;        ///< number of the coroutine that follows the table
+    BootTime RefreshTriedAt; ///< when a refresh was last due
     bool RefreshInProgress = false;  ///< a read from the store
     bool PeerReadInProgress = false; ///< a read from another node
     bool WasWithinBound = true;      ///< in the last log line
@@ -173,9 +164,12 @@
   const TableState &stateOf(Table TableId) const {
     return States_[static_cast<std::size_t>(TableId)];
   }
-  TableReplica &replica(Table TableId) { return stateOf(TableId).Replica; }
+  catalog::TableCopy &copyOf(Table TableId) { return stateOf(TableId).Copy; }
+  const catalog::TableCopy &copyOf(Table TableId) const {
+    return stateOf(TableId).Copy;
+  }
   const TableReplica &replica(Table TableId) const {
-    return stateOf(TableId).Replica;
+    return copyOf(TableId).replica();
   }
 
   catalog::TableFreshness &freshness(Table TableId) const {
@@ -183,22 +177,15 @@
                                       : State_.EndpointFreshness;
   }
 
-  /// Longest allowed time from the acknowledgement of a change until all nodes
-  /// act on it.
-  Duration boundOf(Table TableId) const {
-    const GatewayBounds &Bounds = State_.Settings.Bounds;
-    return TableId == Table::Operator ? Bounds.ConfigApply : Bounds.Drain;
-  }
-
   void refreshIfStale(Table TableId) {
     const BootTime Now = BootClock::now();
-    const Duration Bound = boundOf(TableId);
+    const Duration Bound = Policy_.boundOf(TableId);
     const std::optional<Duration> Age = freshness(TableId).age(Now);
     logStaleness(TableId, Age, Bound);
     TableState &Own = stateOf(TableId);
     const auto SinceRefreshTried =
         std::chrono::duration_cast<Duration>(Now - Own.RefreshTriedAt);
-    const bool IsConfirmer = confirmerWaitFraction().has_value();
+    const bool IsConfirmer = Policy_.confirmerWaitFraction().has_value();
     if (catalog::nextRefresh(Age, Bound, Duration(0), SinceRefreshTried,
                              IsConfirmer ? ConfirmerRefresh : ReplicaRefresh) !=
         catalog::Refresh::ReadStore)
@@ -224,20 +211,10 @@
            freshness(TableId).isSnapshotWithin(
                Own.NewerPeerCopy->StoreTime,
                std::chrono::duration_cast<Duration>(
-                   boundOf(TableId) * ReplicaRefresh.ReadAgeFraction),
+                   Policy_.boundOf(TableId) * ReplicaRefresh.ReadAgeFraction),
                Now);
   }
 
-  /// How long this node's calls wait for changes, as a fraction of the bound;
-  /// nothing if it is no confirmer.
-  std::optional<double> confirmerWaitFraction() const {
-    const auto Better =
-        static_cast<std::size_t>(State_.Nodes->betterRankedFollowers());
-    if (!State_.Nodes->isFollowing() || Better >= ConfirmerWaitFractions.size())
-      return std::nullopt;
-    return ConfirmerWaitFractions.at(Better);
-  }
-
   void logStaleness(Table TableId, std::optional<Duration> Age,
                     Duration Bound) {
     const bool IsWithinBound = Age && *Age <= Bound;
@@ -251,30 +228,45 @@
         .field("complete", replica(TableId).lastCoveredChange());
   }
 
-  http::Task<void> follow(Table TableId) {
+  /// Replaces the coroutine that follows the table. Its call may wait for
+  /// versions of an earlier era, which can be higher than all of this one.
+  void startFollowing(Table TableId, bool ReadAll) {
+    const int Number = ++stateOf(TableId).Follower;
+    asio::co_spawn(State_.Context, follow(TableId, ReadAll, Number),
+                   asio::detached);
+  }
+
+  http::Task<void> follow(Table TableId, bool ReadAll, int Number) {
     Duration Backoff = InitialBackoff;
-    bool ReadAll = true;
     // The first call after a failure must not wait for changes: it would show
     // that the store answers again only when something changes.
     bool HasFailed = false;
-    while (true) {
-      if (!ReadAll && !updateFollowing(TableId)) {
+    while (Number == stateOf(TableId).Follower) {
+      if (!ReadAll && !Policy_.updateFollowing(TableId)) {
         co_await http::sleepFor(RoleCheckPeriod);
         continue;
       }
       StoreRows Result;
+      ReadAll = ReadAll || copyOf(TableId).needsWholeRead();
       const BootTime SentAt = BootClock::now();
+      const std::uint64_t After = replica(TableId).completeVersion();
       if (ReadAll)
         Result = co_await Store_.readAll(TableId);
       else
         Result = co_await Store_.waitForChanges(
-            TableId, replica(TableId).completeVersion(),
-            HasFailed ? NoWait : longPollWait(TableId));
+            TableId, After, HasFailed ? NoWait : Policy_.longPollWait(TableId));
       recordStoreStatus(TableId, Result);
       HasFailed = Result.Status != StoreStatus::Ok;
       if (Result.Status == StoreStatus::Ok) {
-        applyStoreRows(TableId, Result, ReadAll, SentAt);
-        if (ReadAll)
+        const RowsTaken Taken =
+            applyStoreRows(TableId, Result, ReadAll, After, SentAt, Number);
+        if (Taken == RowsTaken::OtherEra) {
+          ReadAll = copyOf(TableId).needsWholeRead();
+          co_await http::sleepFor(ReadAll ? EraReadDelay : Backoff);
+          Backoff = std::min(Backoff * 2, MaxBackoff);
+          continue;
+        }
+        if (ReadAll && Taken == RowsTaken::Merged)
           co_await awaitRoles();
         ReadAll = false;
         Backoff = InitialBackoff;
@@ -299,23 +291,6 @@
       co_await http::sleepFor(RoleReportDelay);
   }
 
-  bool hasOperatorFollowers() const {
-    return State_.Nodes->possibleNodes() >= MinNodesForOperatorFollowers;
-  }
-
-  Duration longPollWait(Table TableId) const {
-    const GatewayBounds &Bounds = State_.Settings.Bounds;
-    const std::optional<double> Fraction = confirmerWaitFraction();
-    if (!Fraction)
-      return LongPollWait;
-    Duration Wait =
-        std::chrono::duration_cast<Duration>(boundOf(TableId) * *Fraction);
-    if (TableId == Table::Operator && Bounds.RevokeFailClosed)
-      Wait = std::min(Wait, std::chrono::duration_cast<Duration>(
-                                Bounds.Revoke * FailClosedWaitFraction));
-    return Wait;
-  }
-
   void startRefresh(Table TableId) {
     if (!stateOf(TableId).RefreshInProgress)
       asio::co_spawn(State_.Context, refresh(TableId), asio::detached);
@@ -325,16 +300,20 @@
   http::Task<void> refresh(Table TableId) {
     stateOf(TableId).RefreshInProgress = true;
     const BootTime SentAt = BootClock::now();
-    bool ReadAll = false;
-    StoreRows Result = co_await Store_.waitForChanges(
-        TableId, replica(TableId).completeVersion(), NoWait);
-    if (Result.Status == StoreStatus::HistoryGone) {
-      ReadAll = true;
-      Result = co_await Store_.readAll(TableId);
+    const std::uint64_t After = replica(TableId).completeVersion();
+    bool ReadAll = copyOf(TableId).needsWholeRead();
+    StoreRows Result;
+    if (!ReadAll) {
+      Result = co_await Store_.waitForChanges(TableId, After, NoWait);
+      ReadAll = Result.Status == StoreStatus::HistoryGone ||
+                (Result.Status == StoreStatus::Ok &&
+                 Result.Era > replica(TableId).era());
     }
+    if (ReadAll)
+      Result = co_await Store_.readAll(TableId);
     stateOf(TableId).RefreshInProgress = false;
     if (Result.Status == StoreStatus::Ok) {
-      applyStoreRows(TableId, Result, ReadAll, SentAt);
+      (void)applyStoreRows(TableId, Result, ReadAll, After, SentAt);
       co_return;
     }
     State_.Log.write("confirm_failed", State_.now(), [&](LogLine &Line) {
@@ -344,32 +323,34 @@
       fetchFrom(TableId, stateOf(TableId).NewerPeerCopy->Address);
   }
 
-  /// Returns whether this node is to follow the table at the store. The
-  /// endpoints' table changes often: a few nodes follow it and forward the
-  /// changes. In a large fleet the same holds for the operator's table, which
-  /// otherwise all nodes would read at the same time.
-  bool updateFollowing(Table TableId) {
-    if (TableId != Table::Endpoints && !hasOperatorFollowers())
-      return true;
-    const bool Should = State_.Nodes->shouldFollow();
-    if (!Should)
-      State_.Nodes->setFollowing(false);
-    return Should;
-  }
-
-  void applyStoreRows(Table TableId, StoreRows &Result, bool ReadAll,
-                      BootTime SentAt) {
-    const std::optional<Duration> StoreTime = Result.StoreTime;
+  /// `Follower`: number of the coroutine that follows the table, if it read
+  /// the rows.
+  RowsTaken applyStoreRows(Table TableId, StoreRows &Result, bool ReadAll,
+                           std::uint64_t After, BootTime SentAt,
+                           int Follower = 0) {
     const catalog::RowCoverage Before = replica(TableId).coverage();
-    const std::vector<Row> Changes =
-        ReadAll
-            ? replica(TableId).replaceAll(std::move(Result.Rows),
-                                          Result.Version)
-            : replica(TableId).merge(std::move(Result.Rows), Result.Version);
-    publishChanges(TableId, Changes, "store");
-    freshness(TableId).recordStoreAnswer(SentAt, BootClock::now(), StoreTime);
-    stateOf(TableId).LastStoreTime = StoreTime;
+    const catalog::TableUpdate Update = copyOf(TableId).mergeFromStore(
+        {After, Result.Version, std::move(Result.Rows), ReadAll, Result.Era},
+        SentAt, BootClock::now(), Result.StoreTime);
+    if (Update.Taken == RowsTaken::OtherEra && Result.Era < Before.Era)
+      State_.Log.write("store_era_rejected", State_.now(), [&](LogLine &Line) {
+        Line.field("table", nameOf(TableId))
+            .field("value", Result.Era)
+            .field("era", Before.Era)
+            .field("reason", "older than the replica");
+      });
+    noteEra(Result.Era);
+    if (Update.Taken == RowsTaken::OtherEra)
+      return Update.Taken;
+    const std::vector<Row> &Changes = Update.Changes;
+    publish(TableId, Update, Before.Era, "store");
     stateOf(TableId).NewerPeerCopy.reset();
+    if (Update.Taken == RowsTaken::EraBegun) {
+      if (Follower != stateOf(TableId).Follower)
+        startFollowing(TableId, false);
+      // Other nodes read the whole table.
+      return Update.Taken;
+    }
     // In a large fleet only the best-ranked follower forwards changes. Nodes
     // that miss some learn it from the heartbeats of the others.
     const bool Forwards =
@@ -377,16 +358,57 @@
     if (TableId == Table::Endpoints && Forwards && Before.UpTo > 0 &&
         !Changes.empty())
       State_.Nodes->announceEndpointRows(
-          ReadAll ? unlinkedBatch(Changes, replica(TableId).completeVersion())
-                  : rowsAfter(TableId, std::max(Before.LastChange,
-                                                Before.WholeReadVersion)));
+          ReadAll ? unlinkedBatch(Changes, replica(TableId).coverage())
+                  : rowsAfter(TableId, {replica(TableId).era(),
+                                        std::max(Before.LastChange,
+                                                 Before.WholeReadVersion)}));
+    return Update.Taken;
+  }
+
+  void takePeerRows(Table TableId, RowBatch Batch, std::string_view Source) {
+    const std::uint64_t Before = replica(TableId).era();
+    const catalog::TableUpdate Update =
+        copyOf(TableId).mergeFromPeer(std::move(Batch));
+    if (Update.Taken == RowsTaken::OtherEra)
+      return;
+    publish(TableId, Update, Before, Source);
+    if (Update.Taken != RowsTaken::EraBegun)
+      return;
+    stateOf(TableId).NewerPeerCopy.reset();
+    startFollowing(TableId, false);
+    noteEra(replica(TableId).era());
+  }
+
+  /// Records an era that the store or another node stated. This node reads the
+  /// tables that it follows again; others get them from nodes that do.
+  void noteEra(std::uint64_t Era) {
+    for (const Table TableId : FollowedTables) {
+      catalog::TableCopy &Copy = copyOf(TableId);
+      const bool WasKnown = Copy.needsWholeRead();
+      Copy.noteEra(Era, BootClock::now());
+      const bool Follows =
+          State_.Nodes->isFollowing() ||
+          (TableId == Table::Operator && !Policy_.hasOperatorFollowers());
+      if (Copy.needsWholeRead() && !WasKnown && Copy.hasRead() && Follows)
+        startRefresh(TableId);
+    }
   }
 
-  void publishChanges(Table TableId, const std::vector<Row> &Changes,
-                      std::string_view Source) {
-    State_.Nodes->setLastChanges(replica(Table::Operator).lastCoveredChange(),
-                                 replica(Table::Endpoints).lastCoveredChange());
-    if (Changes.empty())
+  void publish(Table TableId, const catalog::TableUpdate &Update,
+               std::uint64_t EraBefore, std::string_view Source) {
+    const std::vector<Row> &Changes = Update.Changes;
+    const bool BeginsEra = Update.Taken == RowsTaken::EraBegun;
+    State_.Nodes->setLastChanges(replica(Table::Operator).lastChange(),
+                                 replica(Table::Endpoints).lastChange());
+    if (BeginsEra)
+      logWarning("store_era_changed")
+          .field("table", nameOf(TableId))
+          .field("era", replica(TableId).era())
+          .field("before", EraBefore)
+          .field("differing_rows", Changes.size())
+          .field("complete", replica(TableId).completeVersion())
+          .field("source", Source);
+    if (Changes.empty() && !BeginsEra)
       return;
     // The changes are not older than the last confirmation of the copy.
     const std::optional<Duration> Age =
@@ -400,7 +422,7 @@
           .field("source", Source)
           .field("known_age_ms", Age ? Age->count() : -1);
     });
-    Notify_(TableId, Changes);
+    Notify_(TableId, Changes, BeginsEra);
   }
 
   void recordStoreStatus(Table TableId, const StoreRows &Result) {
@@ -423,43 +445,28 @@
   }
 
   http::Task<void> fetch(Table TableId, http::Address Peer) {
-    http::Request Call;
-    Call.Method = "GET";
-    Call.Target = "/rows/" + std::string(nameOf(TableId)) + "?after=" +
-                  std::to_string(replica(TableId).completeVersion());
     const std::string PeerHost = Peer.Host;
-    std::optional<http::Response> Reply =
-        co_await http::fetch(std::move(Peer), Call, PeerReadLimits);
+    std::optional<RowBatch> Batch = co_await readPeerRows(
+        TableId, std::move(Peer),
+        {replica(TableId).era(), replica(TableId).completeVersion()});
     stateOf(TableId).PeerReadInProgress = false;
-    std::string Reason = "no answer";
-    std::optional<RowBatch> Batch;
-    if (Reply && Reply->Status == 200)
-      Batch = unpackRows(Reply->Body, Reason);
-    if (!Batch) {
-      logWarning("peer_rows_failed")
-          .field("peer", PeerHost)
-          .field("table", nameOf(TableId))
-          .field("reason", Reason);
-      co_return;
-    }
-    publishChanges(TableId, replica(TableId).mergeFromPeer(std::move(*Batch)),
-                   PeerHost);
+    if (Batch)
+      takePeerRows(TableId, std::move(*Batch), PeerHost);
   }
 
   GatewayState &State_;
   StoreClient &Store_;
   OnRows Notify_;
-  std::array<TableState, catalog::TableCount> States_;
+  FollowPolicy Policy_;
+  std::array<TableState, FollowedTables.size()> States_ = {
+      TableState(State_.OperatorFreshness),
+      TableState(State_.EndpointFreshness)};
   bool StoreAnswers_ = true;
   TimePoint RegainedAt_;
 };
 
 } // namespace
 
-std::string rowsPath(Table TableId) {
-  return "/rows/" + std::string(nameOf(TableId));
-}
-
 std::unique_ptr<RowFollower> startRowFollower(GatewayState &State,
                                               StoreClient &Store,
                                               RowFollower::OnRows Notify) {
--- a/src/gateway/row_follower.h
+++ b/src/gateway/row_follower.h
@@ -8,15 +8,14 @@
 
 namespace cassiashed::gateway {
 
-/// HTTP path at which a node serves its rows of a table to other nodes.
-std::string rowsPath(catalog::Table TableId);
-
 /// Keeps copies of the operator's and the endpoints' table up to date: from the
 /// store while it answers, and from other nodes that hold newer rows.
 class RowFollower {
 public:
-  using OnRows =
-      std::function<void(catalog::Table, const std::vector<catalog::Row> &)>;
+  /// `BeginsEra`: the rows are what differs after the store came back from an
+  /// older copy.
+  using OnRows = std::function<void(
+      catalog::Table, const std::vector<catalog::Row> &, bool BeginsEra)>;
 
   virtual ~RowFollower() = default;
   /// Reads changes of the operator's table from the store at once, unless a
@@ -36,7 +35,11 @@
   virtual void mergeFromPeer(catalog::Table TableId, RowBatch Rows) = 0;
   /// Returns rows of a table newer than `After`, for other nodes.
   virtual RowBatch rowsAfter(catalog::Table TableId,
-                             std::uint64_t After) const = 0;
+                             catalog::StoreVersion After) const = 0;
+  /// Era of the store from which the rows of the table are.
+  virtual std::uint64_t era(catalog::Table TableId) const = 0;
+  /// Whether the store is known to be in a later era than the rows.
+  virtual bool isDoubtful(catalog::Table TableId) const = 0;
   /// Whether rows of the table are known.
   virtual bool hasRead(catalog::Table TableId) const = 0;
   /// Whether the store answered the last call.
--- a/src/gateway/row_messages.cpp
+++ b/src/gateway/row_messages.cpp
@@ -19,13 +19,14 @@
   std::uint64_t UpTo = 0;
   std::vector<RowMessage> Rows;
   bool Whole = false;
-  MSGPACK_DEFINE(After, UpTo, Rows, Whole)
+  std::uint64_t Era = 0;
+  MSGPACK_DEFINE(After, UpTo, Rows, Whole, Era)
 };
 
 } // namespace
 
 std::string packRows(const RowBatch &Batch) {
-  BatchMessage Message{Batch.After, Batch.UpTo, {}, Batch.Whole};
+  BatchMessage Message{Batch.After, Batch.UpTo, {}, Batch.Whole, Batch.Era};
   Message.Rows.reserve(Batch.Rows.size());
   for (const catalog::Row &Row : Batch.Rows)
     Message.Rows.push_back({Row.Key, Row.Value, Row.Version, Row.Removed});
@@ -37,7 +38,12 @@
   std::optional<BatchMessage> Message = unpack<BatchMessage>(Bytes, Reason);
   if (!Message)
     return std::nullopt;
-  RowBatch Batch{Message->After, Message->UpTo, {}, Message->Whole};
+  if (Message->Era > catalog::MaxStoreEra) {
+    Reason = "the era is out of range";
+    return std::nullopt;
+  }
+  RowBatch Batch{
+      Message->After, Message->UpTo, {}, Message->Whole, Message->Era};
   Batch.Rows.reserve(Message->Rows.size());
   for (RowMessage &Row : Message->Rows)
     Batch.Rows.push_back(
--- a/tests/standins/users_platform/store.py
+++ b/tests/standins/users_platform/store.py
@@ -10,12 +10,15 @@
 
 class Store:
     """Rows by (table, key). `mode` makes it fail: "ok", "busy", "silent" or "endless".
-    `body_seconds`: time in which the body of an answer arrives."""
+    `body_seconds`: time in which the body of an answer arrives. `era`: value of the header `Store-Era`; None: no such
+    header."""
 
     def __init__(self):
         self.mode = "ok"
         self.body_seconds = 0
+        self.era = None
         self._forgotten_polls = 0
+        self._broken_polls = 0
         self._polls = 0
         self._rows = {}
         self._version = 0
@@ -53,6 +56,30 @@
             self._rows[table, key] = {"value": b"", "version": self._version, "gone": True}
             self._changed.notify_all()
 
+    def copy(self):
+        """A copy to come back from."""
+        with self._changed:
+            return {key: dict(row) for key, row in self._rows.items()}, self._version
+
+    def restore(self, copy, rows=(), breaks_polls=True):
+        """Comes back from a copy: what was written since is gone and its versions are given out again. Before the next
+        call is answered, the (table, key, value) of `rows` are written. Polls that wait lose their connection or,
+        without `breaks_polls`, go on waiting."""
+        with self._changed:
+            self._rows, self._version = {key: dict(row) for key, row in copy[0].items()}, copy[1]
+            self._forgotten = min(self._forgotten, self._version)
+            self.era = (self.era or 0) + 1
+            for table, key, value in rows:
+                self.put(table, key, value)
+            if breaks_polls:
+                self._broken_polls = self._polls
+            self._changed.notify_all()
+
+    def value(self, table, key):
+        with self._changed:
+            row = self._rows.get((table, key))
+            return row["value"] if row and not row["gone"] else None
+
     def forget_history(self):
         """Later long polls from before now are told that the history is gone."""
         with self._changed:
@@ -129,7 +156,10 @@
                     time.sleep(60)
                     self._changed.acquire()
                     return
-                if after < self._forgotten:
+                if number <= self._broken_polls:
+                    call.close_connection = True
+                    return
+                if after < self._forgotten or (after > self._version and self.era is not None):
                     status, answer = 410, {}
                     break
                 rows = self._select(query["table"], after, True)
@@ -162,6 +192,8 @@
         try:
             call.send_response(status)
             call.send_header("Content-Type", "application/json")
+            if self.era is not None:
+                call.send_header("Store-Era", str(self.era))
             call.send_header("Content-Length", str(len(text)))
             call.end_headers()
             pieces = 20 if self.body_seconds else 1
