--- a/src/catalog/table_copy_test.cpp
+++ b/src/catalog/table_copy_test.cpp
@@ -33,11 +33,12 @@
     const std::uint64_t Era = Store_.Era + 1;
     Store_ = Copy_;
     Store_.Era = Era;
-    // The clock of the machine that has the copy.
-    ClockOffset_ = Duration(*rc::gen::inRange(0, 100000));
+    // The clock of the machine that has the copy. A small difference can look
+    // like a slow answer.
+    ClockOffset_ = Duration(*rc::gen::inRange(0, 600));
     LastChangeAt_ = Now_;
   }
-  void passTime() { Now_ += Duration(*rc::gen::inRange(1, 500)); }
+  void passTime() { Now_ += Duration(*rc::gen::inRange(1, 30)); }
 
   /// The answer is made when the call is delivered; it can arrive later.
   void askStore(std::size_t Node, bool Whole) {
@@ -108,19 +109,25 @@
     }
   }
 
-  /// Each node reads until an answer is complete, as the follower does.
+  /// A node asks the store and is answered at once.
+  void readNow(std::size_t Node) {
+    passTime();
+    // An unknown version gets 410: then the whole table is read.
+    askStore(Node,
+             Nodes_[Node].Copy.replica().completeVersion() > Store_.Version);
+    passTime();
+    Message Answered = InFlight_.back();
+    InFlight_.pop_back();
+    answer(Answered);
+    take(Answered);
+  }
+
+  /// Each node reads twice: an answer of a later era calls for a whole read.
   void settle() {
-    InFlight_.clear();
-    for (std::size_t Node = 0; Node < Nodes_.size(); ++Node)
-      for (int Read = 0; Read < 2; ++Read) {
-        passTime();
-        // An unknown version gets 410: then the whole table is read.
-        askStore(Node, Nodes_[Node].Copy.replica().completeVersion() >
-                           Store_.Version);
-        answer(InFlight_.back());
-        take(InFlight_.back());
-        InFlight_.pop_back();
-      }
+    for (std::size_t Node = 0; Node < Nodes_.size(); ++Node) {
+      readNow(Node);
+      readNow(Node);
+    }
     for (const Node &Each : Nodes_) {
       RC_ASSERT(Each.Copy.replica().era() == Store_.Era);
       RC_ASSERT_FALSE(Each.Copy.needsWholeRead());
@@ -204,20 +211,21 @@
 // proof of the store's era: with restores, lost, late and repeated messages in
 // any order.
 TEST_CASE("after restores of the store every replica equals it") {
-  CHECK(rc::check([] {
+  const auto Check = [] {
     const std::size_t Nodes = *rc::gen::inRange<std::size_t>(2, 5);
     RestoringFleet Fleet(Nodes);
     const int Steps = *rc::gen::inRange(1, 200);
     for (int Step = 0; Step < Steps; ++Step) {
       const std::size_t From = *rc::gen::inRange<std::size_t>(0, Nodes);
       const std::size_t To = *rc::gen::inRange<std::size_t>(0, Nodes);
-      switch (*rc::gen::weightedElement<int>({{6, 0},
-                                              {2, 1},
-                                              {1, 2},
-                                              {4, 3},
-                                              {1, 4},
+      Fleet.passTime();
+      switch (*rc::gen::weightedElement<int>({{9, 0},
+                                              {3, 1},
+                                              {2, 2},
+                                              {3, 3},
+                                              {2, 4},
                                               {3, 5},
-                                              {3, 6},
+                                              {5, 6},
                                               {4, 7},
                                               {14, 8}})) {
       case 0:
@@ -242,7 +250,7 @@
         Fleet.sendCoverage(From, To);
         break;
       case 7:
-        Fleet.passTime();
+        Fleet.readNow(From);
         break;
       default:
         Fleet.deliver();
@@ -250,7 +258,10 @@
       Fleet.checkNodes();
     }
     Fleet.settle();
-  }));
+  };
+  // Faults that were put in on trial took up to 800 random runs to show.
+  for (int Round = 0; Round < 10; ++Round)
+    CHECK(rc::check(Check));
 }
 
 // Guards against a damaged era of one answer that keeps a node from ever using
