--- a/include/cassiashed/catalog/table_replica.h
+++ b/include/cassiashed/catalog/table_replica.h
@@ -28,6 +28,8 @@
 struct StoreVersion {
   std::uint64_t Era = 0;
   std::uint64_t Version = 0;
+  // clang-tidy 14 reports the code that the compiler generates for this line.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const StoreVersion &) const = default;
 };
 
