Balance plain services by the load that their endpoints state

Cause: what a node knows of an endpoint's load is old, and many nodes choose at the same moment. Change: Server-Load of answers is decoded, aged by the duration of requests, and passed on inside messages that are sent anyway. chooseEvenly fills the endpoints to a common level and chooses below it by the known requests. Services whose endpoints state no load are chosen as before. Messages between nodes have format 2.

--- a/include/cassiashed/balancing/dispatcher.h
+++ b/include/cassiashed/balancing/dispatcher.h
@@ -3,6 +3,7 @@
 #include "cassiashed/balancing/cold_start_limiter.h"
 #include "cassiashed/balancing/endpoint_health.h"
 #include "cassiashed/balancing/fleet_load.h"
+#include "cassiashed/balancing/load_estimate.h"
 #include "cassiashed/catalog/endpoint_directory.h"
 #include "cassiashed/catalog/service_config.h"
 #include <functional>
@@ -90,6 +91,9 @@
     AvailableConnections_ = std::move(Available);
   }
   void setNodeCount(int Count) { NodeCount_ = Count; }
+  /// Loads that endpoints of plain services state. Services whose endpoints
+  /// state none are balanced by the known requests only.
+  void setLoadEstimate(const LoadEstimate *Stated) { Stated_ = Stated; }
 
   Dispatch choose(const DispatchRequest &Request, TimePoint Now,
                   std::mt19937_64 &Random);
@@ -104,6 +108,11 @@
   Dispatch
   choosePlainEndpoint(const std::vector<catalog::EndpointRef> &Candidates,
                       TimePoint Now, std::mt19937_64 &Random) const;
+  /// The endpoint that `chooseEvenly` chooses; null if no candidate has stated
+  /// its load or all are full.
+  catalog::EndpointRef
+  chooseByStatedLoad(const std::vector<catalog::EndpointRef> &Candidates,
+                     TimePoint Now, std::mt19937_64 &Random) const;
   Dispatch chooseEngines(const DispatchRequest &Request,
                          const std::vector<catalog::EndpointRef> &Candidates,
                          TimePoint Now);
@@ -114,6 +123,7 @@
   const ColdStartLimiter &Cold_;
   DispatcherOptions Options_;
   AvailableConnections AvailableConnections_;
+  const LoadEstimate *Stated_ = nullptr;
   int NodeCount_ = 1;
 };
 
--- a/src/balancing/dispatcher.cpp
+++ b/src/balancing/dispatcher.cpp
@@ -17,6 +17,8 @@
 constexpr Duration BusyRetry{300};
 /// Load that a suspicion of 1 counts as, in requests per slot.
 constexpr double LoadPerSuspicion = 2;
+/// Load that another zone counts as: a request there costs two more hops.
+constexpr double OtherZoneLoad = 0.05;
 
 } // namespace
 
@@ -109,6 +111,11 @@
 Dispatcher::choosePlainEndpoint(const std::vector<EndpointRef> &Candidates,
                                 TimePoint Now, std::mt19937_64 &Random) const {
   Dispatch Result;
+  if (const EndpointRef Even = chooseByStatedLoad(Candidates, Now, Random)) {
+    Result.Endpoints = {Even};
+    Result.Parts = {PromptPart{}};
+    return Result;
+  }
   std::uniform_real_distribution<double> Jitter(0, 0.1);
   double Best = 0;
   for (const EndpointRef &Endpoint : Candidates) {
@@ -119,7 +126,8 @@
       continue;
     const double Load =
         PerSlot + Health_.suspicion(Endpoint->Number, Now) * LoadPerSuspicion +
-        (Endpoint->Entry.Zone == Options_.Zone ? 0 : 0.05) + Jitter(Random);
+        (Endpoint->Entry.Zone == Options_.Zone ? 0 : OtherZoneLoad) +
+        Jitter(Random);
     if (Result.Endpoints.empty() || Load < Best) {
       Best = Load;
       Result.Endpoints = {Endpoint};
@@ -134,6 +142,40 @@
   return Result;
 }
 
+EndpointRef
+Dispatcher::chooseByStatedLoad(const std::vector<EndpointRef> &Candidates,
+                               TimePoint Now, std::mt19937_64 &Random) const {
+  if (!Stated_)
+    return nullptr;
+  std::vector<LoadedEndpoint> Loads;
+  std::vector<EndpointRef> Usable;
+  bool IsAnyStated = false;
+  for (const bool UseHeld : {false, true}) {
+    for (const EndpointRef &Endpoint : Candidates) {
+      if (!UseHeld && Stated_->isHeld(Endpoint->Number, Now))
+        continue;
+      LoadedEndpoint Load;
+      Load.Slots = std::max(1, Endpoint->Entry.Slots);
+      Load.KnownRequests = Load_.outstanding(Endpoint->Entry.Id);
+      if (Load.KnownRequests / Load.Slots >= Options_.MaxPerSlot)
+        continue;
+      Load.PenaltyPerSlot =
+          Health_.suspicion(Endpoint->Number, Now) * LoadPerSuspicion +
+          (Endpoint->Entry.Zone == Options_.Zone ? 0 : OtherZoneLoad);
+      Load.Unknown = Stated_->unknownRequests(Endpoint->Number, Now);
+      Load.Taken = Stated_->duration(Endpoint->Number);
+      IsAnyStated = IsAnyStated || Load.Unknown.IsStated;
+      Loads.push_back(Load);
+      Usable.push_back(Endpoint);
+    }
+    if (!Usable.empty())
+      break;
+  }
+  if (!IsAnyStated)
+    return nullptr;
+  return Usable[chooseEvenly(Loads, Random)];
+}
+
 Dispatch Dispatcher::chooseEngines(const DispatchRequest &Request,
                                    const std::vector<EndpointRef> &Candidates,
                                    TimePoint Now) {
--- a/src/gateway/catalog_updater.cpp
+++ b/src/gateway/catalog_updater.cpp
@@ -105,6 +105,7 @@
   const EndpointDirectory::Change Change = State_.Directory.put(*Decoded, Now);
   if (Change == EndpointDirectory::Change::Restarted) {
     State_.Load.removeEndpoint(RowChange.Key);
+    State_.Stated.remove(Before->Number);
     State_.Pool.closeIdle(Before->Number);
     State_.confirmCrashes(*Before);
   }
@@ -131,6 +132,7 @@
   State_.Load.removeEndpoint(Id);
   State_.Health.remove(Known->Number);
   State_.Cold.remove(Known->Number);
+  State_.Stated.remove(Known->Number);
   State_.confirmCrashes(*Known);
   State_.Log.write("endpoint_removed", State_.now(), [&](LogLine &Line) {
     Line.field("endpoint", Id).field("reason", Reason);
--- a/src/gateway/exchange_receive.cpp
+++ b/src/gateway/exchange_receive.cpp
@@ -61,6 +61,8 @@
     State_.Directory.markCold(Endpoint, *Answer.ColdRemaining, Now);
   if (Answer.PausedFor && Answer.PausedFor->count() > 0)
     State_.Directory.pause(Endpoint, *Answer.PausedFor, Now);
+  if (Answer.Load)
+    State_.recordStatedLoad(*Endpoint, *Answer.Load);
   if (!Answer.IsLeaving || Endpoint->IsLeaving)
     return;
   State_.Directory.markLeaving(Endpoint);
@@ -146,10 +148,14 @@
     State_.recordOutcome(*Endpoint, Answer.WrongEndpoint
                                         ? EndpointOutcome::Unreachable
                                         : EndpointOutcome::Refused);
+    if (Status == 503)
+      State_.Stated.recordRejection(Endpoint->Number, State_.now());
     State_.Log.write("endpoint_refused", State_.now(), [&](LogLine &Line) {
       Line.field("id", RequestHead_.AttemptId)
           .field("endpoint", Endpoint->Entry.Id)
           .field("status", Status)
+          .field("running", Answer.Load ? Answer.Load->Running : -1)
+          .field("waiting", Answer.Load ? Answer.Load->Waiting : -1)
           .field("at_fault", Answer.FaultyAddress);
     });
     co_return AttemptResult::NotRun;
@@ -210,6 +216,9 @@
     State_.recordOutcome(*Endpoint, IsServerError ? EndpointOutcome::ServerError
                                                   : EndpointOutcome::Answered);
     State_.Crashes.recordCompletion(ContentHash_);
+    State_.Stated.recordDuration(
+        Endpoint->Number,
+        std::chrono::duration_cast<Duration>(State_.now() - SentAt_));
     if (Sending.Done && !Sending.Failure && Parser.is_done() &&
         Parser.keep_alive() && CancelReason_ == CancelReason::None) {
       const auto KeepAlive = Parser.get()[bhttp::field::keep_alive];
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr Duration TickPeriod{100};
+/// Older stated loads of other nodes would be ignored anyway.
+constexpr std::int64_t MaxStatedLoadAgeMs = 3000;
 constexpr Duration HousekeepingPeriod{1000};
 /// How often the settings file is checked for changes without a signal.
 constexpr Duration SettingsCheckPeriod{2000};
@@ -126,6 +128,9 @@
     Events.Outcome = [this](const EndpointOutcomeReport &Report) {
       recordPeerOutcome(Report);
     };
+    Events.StatedLoad = [this](const StatedLoadReport &Report) {
+      recordPeerStatedLoad(Report);
+    };
     Events.Query = [this](const PlacementQuery &Query, const std::string &Host,
                           std::uint32_t Origin) {
       State_.Placement->handleQuery(Query, Host, Origin);
@@ -188,6 +193,17 @@
                                 State_.now());
   }
 
+  void recordPeerStatedLoad(const StatedLoadReport &Report) {
+    const catalog::EndpointRef Known = State_.Directory.find(Report.EndpointId);
+    if (!Known || Report.Running < 0 || Report.Waiting < 0 ||
+        Report.AgeMs < 0 || Report.AgeMs > MaxStatedLoadAgeMs)
+      return;
+    State_.Stated.recordStated(Known->Number,
+                               {Report.Running, Report.Waiting, Report.Slots},
+                               State_.Load.outstanding(Report.EndpointId),
+                               State_.now() - Duration(Report.AgeMs));
+  }
+
   using Handler = http::Response (Gateway::*)(const http::Request &);
 
   std::unique_ptr<http::Server> serve(const HostPort &Address, Handler Handle,
@@ -441,6 +457,9 @@
                      static_cast<double>(State_.ActiveRequests.size()));
     Metrics.setGauge("endpoints",
                      static_cast<double>(State_.Directory.all().size()));
+    Metrics.setGauge(
+        "endpoints_stating_load",
+        static_cast<double>(State_.Stated.statedCount(State_.now())));
     Metrics.setGauge("endpoint_connections",
                      static_cast<double>(State_.Pool.openTotal()));
     Metrics.setGauge("caller_connections",
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -47,7 +47,9 @@
       Retries(retryOptions(Settings.Bounds)),
       Dispatcher(Directory, Load, Health, Cold, dispatcherOptions(Settings)),
       Pool(Context), Placement(std::make_unique<SharedPlacement>(*this)),
-      Metrics(makeGatewayMetrics()), NextWorkId(Random()) {}
+      Metrics(makeGatewayMetrics()), NextWorkId(Random()) {
+  Dispatcher.setLoadEstimate(&Stated);
+}
 
 GatewayState::~GatewayState() = default;
 
@@ -85,6 +87,13 @@
     Nodes->announceOutcome(Endpoint.Entry.Id, Outcome);
 }
 
+void GatewayState::recordStatedLoad(const catalog::KnownEndpoint &Endpoint,
+                                    const balancing::StatedLoad &Answered) {
+  const std::string &Id = Endpoint.Entry.Id;
+  Stated.recordStated(Endpoint.Number, Answered, Load.outstanding(Id), now());
+  Nodes->announceStatedLoad(Id, Answered);
+}
+
 int GatewayState::sharingNodes() const {
   const int Possible = Nodes ? Nodes->possibleNodes() : 1;
   return static_cast<int>(Possible * JoiningNodesFactor) + 1;
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -50,6 +50,7 @@
   catalog::EndpointDirectory Directory;
   balancing::FleetLoad Load;
   balancing::EndpointHealth Health;
+  balancing::LoadEstimate Stated;
   balancing::ColdStartLimiter Cold;
   balancing::RetryShare Retries;
   balancing::CrashHistory Crashes;
@@ -83,6 +84,10 @@
   /// nodes.
   void recordOutcome(const catalog::KnownEndpoint &Endpoint,
                      balancing::EndpointOutcome Outcome);
+  /// Records the load that an endpoint stated in an answer, and passes it on
+  /// with the next message to other nodes.
+  void recordStatedLoad(const catalog::KnownEndpoint &Endpoint,
+                        const balancing::StatedLoad &Answered);
   /// Whether this node's copy of the keys may be used. Always true unless the
   /// deployment requires that keys are refused while the copy of the operator's
   /// table is too old.
--- a/src/gateway/node_messages.h
+++ b/src/gateway/node_messages.h
@@ -16,7 +16,7 @@
 
 /// Increased when the meaning of a message changes. Messages of other formats
 /// are ignored.
-inline constexpr std::uint32_t NodeMessageFormat = 1;
+inline constexpr std::uint32_t NodeMessageFormat = 2;
 
 /// The load of a request on one of its endpoints.
 struct AssignmentPart {
@@ -60,6 +60,17 @@
   MSGPACK_DEFINE(EndpointId, Outcome)
 };
 
+/// Load that an endpoint stated in an answer to the sender, `AgeMs` before the
+/// message was sent.
+struct StatedLoadReport {
+  std::string EndpointId;
+  std::int32_t Running = 0;
+  std::int32_t Waiting = 0;
+  std::int32_t Slots = 0;
+  std::int64_t AgeMs = 0;
+  MSGPACK_DEFINE(EndpointId, Running, Waiting, Slots, AgeMs)
+};
+
 /// Encoding of a `CoverageReport`.
 struct CoverageMessage {
   std::uint32_t Table = 0; ///< catalog::Table
@@ -114,12 +125,14 @@
   std::uint64_t RowsUpTo = 0;
   /// In heartbeats: coverage of the tables that the sender follows.
   std::vector<CoverageMessage> Coverage;
+  std::vector<StatedLoadReport> StatedLoads;
   MSGPACK_DEFINE(Format, Node, Incarnation, LastOperatorChange,
                  LastEndpointChange, Following, EndpointRows, Started,
                  FirstTokens, Finished, Crashes, UnresponsiveEndpoints,
                  KnownNodes, FreshnessQueryAt, FreshnessReplyTo,
                  OperatorTableAgeMs, CpuShare, KnowsFleetLoad, PlacementQueries,
-                 PlacementReplies, Outcomes, RowsAfter, RowsUpTo, Coverage)
+                 PlacementReplies, Outcomes, RowsAfter, RowsUpTo, Coverage,
+                 StatedLoads)
 };
 
 AssignmentMessage toAssignmentMessage(const balancing::Assignment &Assignment);
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <map>
 #include <random>
 #include <set>
 
@@ -36,6 +37,7 @@
 /// Keeps datagrams below the size of an Ethernet frame, so that they are not
 /// fragmented.
 constexpr std::size_t MaxItemsPerMessage = 30;
+constexpr std::size_t MaxStatedLoadsPerMessage = 8;
 constexpr std::size_t MaxKnownNodes = 32;
 /// Nodes that follow tables for all: enough that some remain when a zone and a
 /// third of the other nodes lose the store at once.
@@ -201,6 +203,10 @@
         {EndpointId, static_cast<std::uint32_t>(Outcome)});
     scheduleFlush();
   }
+  void announceStatedLoad(const std::string &EndpointId,
+                          const balancing::StatedLoad &Stated) override {
+    PendingLoads_[EndpointId] = {Stated, now()};
+  }
   void announceCrash(const CrashReport &Report) override {
     NodeMessage Message = makeMessage();
     Message.Crashes.push_back(Report);
@@ -367,6 +373,8 @@
       Events_.EndpointUnresponsive(Id);
     for (const EndpointOutcomeReport &Report : Message.Outcomes)
       Events_.Outcome(Report);
+    for (const StatedLoadReport &Report : Message.StatedLoads)
+      Events_.StatedLoad(Report);
   }
 
   void handleCoverage(const NodeMessage &Message, const Peer &From) {
@@ -526,6 +534,7 @@
     Message.Finished.swap(PendingReports_.Finished);
     Message.UnresponsiveEndpoints.swap(PendingReports_.UnresponsiveEndpoints);
     Message.Outcomes.swap(PendingReports_.Outcomes);
+    takePendingLoads(Message);
     if (!hasRoles()) {
       sendToLive(Message);
       return;
@@ -543,6 +552,20 @@
         send(Bytes, Target->UdpAddress);
   }
 
+  /// Moves stated loads into a message, up to the size of a datagram.
+  void takePendingLoads(NodeMessage &Message) {
+    const TimePoint Now = now();
+    while (!PendingLoads_.empty() &&
+           Message.StatedLoads.size() < MaxStatedLoadsPerMessage) {
+      const auto First = PendingLoads_.begin();
+      const auto &[Stated, StatedAt] = First->second;
+      Message.StatedLoads.push_back(
+          {First->first, Stated.Running, Stated.Waiting, Stated.Slots,
+           std::chrono::duration_cast<Duration>(Now - StatedAt).count()});
+      PendingLoads_.erase(First);
+    }
+  }
+
   void sendTo(const std::string &Host, const NodeMessage &Message) {
     if (const Peer *Node = Peers_.find(Host))
       send(packMessage(Message), Node->UdpAddress);
@@ -620,6 +643,9 @@
   std::uint64_t LastEndpointChange_ = 0;
   UnsentCounters Unsent_;
   NodeMessage PendingReports_; ///< reports about requests, batched
+  /// Newest stated load of each endpoint, and when it was received.
+  std::map<std::string, std::pair<balancing::StatedLoad, TimePoint>>
+      PendingLoads_;
   std::deque<std::uint64_t> FreshnessQueries_; ///< time stamps, newest last
   std::minstd_rand Random_{std::random_device{}()};
 };
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -39,6 +39,7 @@
   std::function<void(const CrashReport &)> Crash;
   std::function<void(const std::string &EndpointId)> EndpointUnresponsive;
   std::function<void(const EndpointOutcomeReport &)> Outcome;
+  std::function<void(const StatedLoadReport &)> StatedLoad;
   /// A node queries this one as a placer.
   std::function<void(const PlacementQuery &, const std::string &Host,
                      std::uint32_t Origin)>
@@ -127,6 +128,10 @@
   /// attempts.
   virtual void announceOutcome(const std::string &EndpointId,
                                balancing::EndpointOutcome Outcome) = 0;
+  /// Reports the load that an endpoint stated with the next message that is
+  /// sent anyway.
+  virtual void announceStatedLoad(const std::string &EndpointId,
+                                  const balancing::StatedLoad &Stated) = 0;
   virtual void announceEndpointRows(const RowBatch &Batch) = 0;
 
   /// Number of nodes that may be running, this one included: all that are
--- a/src/gateway/platform_protocol.h
+++ b/src/gateway/platform_protocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cassiashed/balancing/load_estimate.h"
 #include "cassiashed/balancing/placement.h"
 #include "cassiashed/balancing/reservation_tracker.h"
 #include "cassiashed/base/clock.h"
@@ -55,6 +56,8 @@
   /// The endpoint accepts no request of this node for this long.
   std::optional<Duration> PausedFor;
   std::string FaultyAddress; ///< of another endpoint that caused the failure
+  /// The endpoint's requests when it sent the head, if it states them.
+  std::optional<balancing::StatedLoad> Load;
 };
 
 /// An operator's order to take a zone out of service.
