--- a/src/balancing/stale_report_simulation.h
+++ b/src/balancing/stale_report_simulation.h
@@ -71,10 +71,12 @@
       endRequests(Way, Now);
       if (Ms % 100 == 0)
         report(Way, Now);
-      for (; NextArrival <= Ms; NextArrival += Gap(Random_))
+      while (NextArrival <= Ms) {
         place(Way, Now);
+        NextArrival += Gap(Random_);
+      }
       if (Ms % 1000 == 999)
-        closeSecond(Ms / 1000);
+        closeSecond();
     }
     for (const Endpoint &One : Endpoints_)
       Result_.BusiestOverMean = std::max(Result_.BusiestOverMean,
@@ -190,7 +192,7 @@
       return;
     }
   }
-  void closeSecond(int /*Second*/) {
+  void closeSecond() {
     double Busiest = 0;
     double Sum = 0;
     double Weights = 0;
