--- a/src/balancing/even_load_test.cpp
+++ b/src/balancing/even_load_test.cpp
@@ -197,6 +197,20 @@
         Target);
 }
 
+// Guards against a changed choice for services whose endpoints state no load.
+TEST_CASE("without stated loads endpoints are chosen as before") {
+  const StaleReportOptions Options = fleetOf(6);
+  DispatcherWay Before(Options, Knowledge::ReportedRequests);
+  DispatcherWay After(Options, Knowledge::StatedLoad);
+  const TimePoint Now = StaleReportSimulation::Start;
+  for (std::uint64_t Id = 1; Id < 200; ++Id) {
+    const std::size_t Chosen = Before.choose(Id % 6, Now);
+    CHECK(After.choose(Id % 6, Now) == Chosen);
+    Before.sent(Id % 6, Id, Chosen, Now);
+    After.sent(Id % 6, Id, Chosen, Now);
+  }
+}
+
 // Guards against wrong statements that attract or repel all requests.
 TEST_CASE("an endpoint that always states 0 gets a bounded share") {
   CHECK(rc::check([] {
--- a/src/gateway/message_formats_test.cpp
+++ b/src/gateway/message_formats_test.cpp
@@ -83,12 +83,16 @@
   Message.Following = true;
   Message.Started.push_back({1, 2, 3, 4, 5, 6, 7, false, {{"i-1", 8, 9}}});
   Message.EndpointRows.push_back({"i-1", "{}", 4, false});
+  Message.StatedLoads.push_back({"i-1", 4, 2, 6, 30});
   std::string Reason;
   const auto Read = unpackMessage(packMessage(Message), Reason);
   REQUIRE(Read);
   CHECK(Read->Node == "n1");
   CHECK(Read->Started.front().Parts.front().EndpointId == "i-1");
   CHECK_FALSE(Read->Started.front().Urgent);
+  REQUIRE(Read->StatedLoads.size() == 1);
+  CHECK(Read->StatedLoads.front().Slots == 6);
+  CHECK(Read->StatedLoads.front().AgeMs == 30);
   CHECK(toAssignment(Read->Started.front(), 3).Origin == 3);
   CHECK_FALSE(unpackMessage("nonsense", Reason));
   CHECK_FALSE(Reason.empty());
