--- a/src/gateway/exchange_receive.cpp
+++ b/src/gateway/exchange_receive.cpp
@@ -148,7 +148,8 @@
     State_.recordOutcome(*Endpoint, Answer.WrongEndpoint
                                         ? EndpointOutcome::Unreachable
                                         : EndpointOutcome::Refused);
-    if (Status == 503)
+    if (Status == 503 && (Answer.FaultyAddress.empty() ||
+                          Answer.FaultyAddress == Endpoint->Entry.address()))
       State_.Stated.recordRejection(Endpoint->Number, State_.now());
     State_.Log.write("endpoint_refused", State_.now(), [&](LogLine &Line) {
       Line.field("id", RequestHead_.AttemptId)
--- a/tests/process/gateway_fixture.py
+++ b/tests/process/gateway_fixture.py
@@ -50,7 +50,7 @@
 
     def __init__(self, directory, name, store, grace_s=8, host="127.0.0.1", seeds=(), internal_port=None,
                  store_port=None, bounds=""):
-        self.port, self.ready_port, free_port = free_ports(3)
+        self.port, self.ready_port, free_port, self.metrics_port = free_ports(4)
         self.internal_port = internal_port or free_port
         self.host = host
         settings = pathlib.Path(directory) / f"{name}.ini"
@@ -58,6 +58,7 @@
         settings.write_text(
             f"[gateway]\nname = {name}\nzone = za\nregion = r\nlisten = {host}:{self.port}\n"
             f"readiness = {host}:{self.ready_port}\ninternal = {host}:{self.internal_port}\n"
+            f"metrics = {host}:{self.metrics_port}\n"
             f"[store]\naddress = 127.0.0.1:{store_port or store.port}\n[cluster]\nseeds = {','.join(seeds)}\n"
             f"zone_regions = za:r\n[bounds]\ngrace_s = {grace_s}\n{bounds}")
         self._log = open(self.log_path, "wb")
