--- a/src/gateway/node_messages.h
+++ b/src/gateway/node_messages.h
@@ -60,6 +60,17 @@
   MSGPACK_DEFINE(EndpointId, Outcome)
 };
 
+/// Load that an endpoint stated in an answer to the sender, `AgeMs` before the
+/// message was sent.
+struct StatedLoadReport {
+  std::string EndpointId;
+  std::int32_t Running = 0;
+  std::int32_t Waiting = 0;
+  std::int32_t Slots = 0;
+  std::int64_t AgeMs = 0;
+  MSGPACK_DEFINE(EndpointId, Running, Waiting, Slots, AgeMs)
+};
+
 /// Encoding of a `CoverageReport`.
 struct CoverageMessage {
   std::uint32_t Table = 0; ///< catalog::Table
@@ -120,6 +131,7 @@
   std::uint64_t OperatorEra = 0;
   std::uint64_t EndpointEra = 0;
   std::uint64_t RowsEra = 0;
+  std::vector<StatedLoadReport> StatedLoads;
 
   catalog::StoreVersion lastOperatorChange() const {
     return {OperatorEra, LastOperatorChange};
@@ -133,7 +145,7 @@
                  KnownNodes, FreshnessQueryAt, FreshnessReplyTo,
                  OperatorTableAgeMs, CpuShare, KnowsFleetLoad, PlacementQueries,
                  PlacementReplies, Outcomes, RowsAfter, RowsUpTo, Coverage,
-                 OperatorEra, EndpointEra, RowsEra)
+                 OperatorEra, EndpointEra, RowsEra, StatedLoads)
 };
 
 AssignmentMessage toAssignmentMessage(const balancing::Assignment &Assignment);
