Bound what a gateway holds for its peers

Clients that keep to no limit ended a process by its memory: each peer was bounded, their sum was not. An account of memory for the process now grants heads, bodies, collected answers and rows for nodes before they are read or made. What does not fit waits unread, then is answered 503; who got nothing for the longest time gives its memory up, and large bodies leave a part to small ones. Connections of callers leave descriptors for the endpoints, the store and the nodes.

--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -18,6 +18,8 @@
   /// one is served. Returns whether the socket is closed.
   virtual bool stopAccepting() = 0;
   virtual std::size_t connectionCount() const = 0;
+  /// Connections that were closed for others since the start.
+  virtual std::uint64_t evictionCount() const = 0;
   /// Connections with bytes of their callers that were not read.
   virtual std::size_t unreadCount() const = 0;
 };
--- /dev/null
+++ b/src/gateway/descriptor_limit.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstddef>
+
+namespace cassiashed::gateway {
+
+/// Descriptors that callers' connections take or may need.
+struct DescriptorUse {
+  std::size_t IdleCallers = 0;   ///< wait for a request
+  std::size_t ActiveCallers = 0; ///< may need a connection to an endpoint
+  std::size_t EndpointConnections = 0;
+};
+
+/// Connections that have to close so that the endpoints, the store and other
+/// nodes keep their part of the descriptors.
+std::size_t excessConnections(const DescriptorUse &Use,
+                              std::size_t FileDescriptors);
+
+} // namespace cassiashed::gateway
--- a/src/gateway/endpoint_connection_pool.cpp
+++ b/src/gateway/endpoint_connection_pool.cpp
@@ -131,6 +131,16 @@
   }
 }
 
+void EndpointConnectionPool::closeAnyIdle(std::size_t Count) {
+  for (auto Entry = Idle_.begin(); Entry != Idle_.end() && Count > 0;) {
+    while (!Entry->second.empty() && Count > 0) {
+      Entry->second.erase(Entry->second.begin());
+      --Count;
+    }
+    Entry = Entry->second.empty() ? Idle_.erase(Entry) : std::next(Entry);
+  }
+}
+
 int EndpointConnectionPool::busyCount(std::uint32_t Number) const {
   const auto Found = Idle_.find(Number);
   const auto Idle = Found == Idle_.end() ? 0 : Found->second.size();
--- a/src/gateway/endpoint_connection_pool.h
+++ b/src/gateway/endpoint_connection_pool.h
@@ -58,6 +58,8 @@
   /// or none is idle.
   void closeIdleAbove(std::uint32_t Number, int MaxOpen);
   void closeExpired(TimePoint Now);
+  /// Closes up to `Count` idle connections to any endpoints.
+  void closeAnyIdle(std::size_t Count);
 
   /// Open connections to an endpoint, idle ones included.
   int openCount(std::uint32_t Number) const;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -16,6 +16,7 @@
   bool KeepAlive = true;
   bool IsFollowed = false; ///< bytes of the next request arrived with it
   TimePoint ReceivedAt;
+  http::MemoryHolder *Memory = nullptr; ///< holds what the request takes
 };
 
 /// Serves one request: chooses endpoints, forwards the request, retries, and
--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -199,7 +199,15 @@
   BufferedAnswer Answer;
   Answer.Head = makeAnswerHead(Parser);
   std::string Piece;
-  while (!Parser.is_done() && Answer.Body.size() < MaxBufferedAnswerBytes) {
+  // Where memory is short, an answer is passed on as it comes.
+  const std::size_t HeldBytes = Request_.Memory->bytes();
+  const auto CanBuffer = [&] {
+    return Answer.Body.empty() ||
+           Request_.Memory->tryHold(HeldBytes + Answer.Body.size() + PieceBytes,
+                                    State_.now());
+  };
+  while (!Parser.is_done() && Answer.Body.size() < MaxBufferedAnswerBytes &&
+         CanBuffer()) {
     setEndpointDeadline(wholeAnswerDeadline());
     const bool Read = co_await readPiece(Connection, Parser, Piece);
     if (!Read)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include <charconv>
 #include <csignal>
 #include <filesystem>
+#include <malloc.h>
 
 namespace cassiashed::gateway {
 namespace {
@@ -30,6 +31,11 @@
 /// so. Answers that have started go on until `ShutdownMargin`.
 constexpr Duration FinalAnswerMargin{800};
 constexpr Duration JoinRetryDelay{1000};
+/// Limits for the connections of one of the servers for nodes and operators.
+constexpr std::size_t MinServerConnections = 8;
+constexpr std::size_t MaxServerConnections = 256;
+/// Allocations from this size on are mappings of their own.
+constexpr int MappedAllocationBytes = 128 * 1024;
 
 class Gateway {
 public:
@@ -195,6 +201,13 @@
     http::ServerOptions Options;
     Options.Host = Address.Host;
     Options.Port = Address.Port;
+    // Requests of nodes and of operators have no bodies.
+    Options.MaxHeadBytes = 8 * 1024;
+    Options.MaxBodyBytes = 4 * 1024;
+    Options.MaxConnections = std::clamp<std::size_t>(
+        static_cast<std::size_t>(State_.Settings.Limits.FileDescriptors) / 16,
+        MinServerConnections, MaxServerConnections);
+    Options.Memory = &State_.Memory;
     return http::startServer(
         Context_, Options,
         [this, Handle](http::Request Call,
@@ -326,6 +339,7 @@
     const TimePoint Now = State_.now();
     Updater_.tick(Now);
     State_.Load.expire(Now);
+    State_.Memory.reclaim(Now);
     refreshKeys();
     RowFollower_->refreshIfStale();
     if (Now - LastHousekeeping_ >= HousekeepingPeriod) {
@@ -420,6 +434,7 @@
     // Changed addresses are ignored: a running process cannot change them.
     State_.Settings.Bounds = Loaded->Bounds;
     State_.Settings.Limits = Loaded->Limits;
+    State_.applyLimits();
     State_.applyBounds();
     for (const HostPort &Seed : Loaded->Cluster.Seeds)
       State_.Nodes->addNode("", Seed.Host, 0);
@@ -445,6 +460,14 @@
                      static_cast<double>(State_.Pool.openTotal()));
     Metrics.setGauge("caller_connections",
                      static_cast<double>(Callers_->connectionCount()));
+    Metrics.setGauge("memory_held_bytes",
+                     static_cast<double>(State_.Memory.usedBytes()));
+    Metrics.setGauge("memory_waiting",
+                     static_cast<double>(State_.Memory.waitingCount()));
+    Metrics.setGauge("memory_dropped",
+                     static_cast<double>(State_.Memory.droppedTotal()));
+    Metrics.setGauge("callers_evicted",
+                     static_cast<double>(Callers_->evictionCount()));
     Metrics.setGauge("known_work",
                      static_cast<double>(State_.Load.assignmentCount()));
     Metrics.setGauge("live_nodes", State_.Nodes->liveNodes());
@@ -484,6 +507,9 @@
 int runGateway(const GatewaySettings &Settings, const std::string &SettingsPath,
                GatewayAdapter Adapter) {
   logToStandardOutput();
+  // Freed bodies return to the system at once; by default the limit grows with
+  // the largest block that was freed.
+  ::mallopt(M_MMAP_THRESHOLD, MappedAllocationBytes);
   // A write to a closed connection is an error of that connection only.
   std::signal(SIGPIPE, SIG_IGN);
   // Never destroyed: the process exits right after, and suspended coroutines
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -37,13 +37,19 @@
   return Result;
 }
 
+std::size_t bytesOf(const GatewayLimits &Limits) {
+  return static_cast<std::size_t>(Limits.MemoryMb) << 20U;
+}
+
 } // namespace
 
 GatewayState::GatewayState(asio::io_context &Context,
                            const GatewaySettings &Settings,
                            const PlatformProtocol &Protocol)
     : Context(Context), Settings(Settings), Protocol(Protocol),
-      Random(std::random_device{}()), Cold(coldOptions(Settings.Bounds)),
+      Random(std::random_device{}()),
+      Memory(http::memoryLimitsFor(bytesOf(Settings.Limits))),
+      Cold(coldOptions(Settings.Bounds)),
       Retries(retryOptions(Settings.Bounds)),
       Dispatcher(Directory, Load, Health, Cold, dispatcherOptions(Settings)),
       Pool(Context), Placement(std::make_unique<SharedPlacement>(*this)),
@@ -107,6 +113,10 @@
   return OperatorFreshness.isWithin(Bound, BootClock::now());
 }
 
+void GatewayState::applyLimits() {
+  Memory.setLimits(http::memoryLimitsFor(bytesOf(Settings.Limits)));
+}
+
 void GatewayState::applyBounds() {
   Cold.setOptions(coldOptions(Settings.Bounds));
   Retries.setOptions(retryOptions(Settings.Bounds));
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -11,6 +11,7 @@
 #include "gateway/node_network.h"
 #include "gateway/platform_protocol.h"
 #include "gateway/rate_limited_log.h"
+#include "http/memory_account.h"
 #include <memory>
 #include <random>
 #include <set>
@@ -41,6 +42,8 @@
   GatewaySettings Settings;
   const PlatformProtocol &Protocol;
   std::mt19937_64 Random;
+  /// Of callers and nodes: what they send, and the answers that they read.
+  http::MemoryAccount Memory;
   /// The configuration in force; null until the first one was read. Requests
   /// keep the one that they started with.
   std::shared_ptr<const catalog::ServiceConfig> Config;
@@ -89,6 +92,8 @@
   bool knowsKeys() const;
   /// Applies changed bounds of the settings.
   void applyBounds();
+  /// Applies changed limits of the host.
+  void applyLimits();
   /// Counts the interrupted runs of an endpoint that has terminated as crashes.
   void confirmCrashes(const catalog::KnownEndpoint &Ended);
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,11 +1,15 @@
 #include "http/server.h"
 
+#include "http/memory_wait.h"
 #include "http/peek.h"
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <unordered_set>
 
 namespace cassiashed::http {
@@ -38,6 +42,12 @@
 
   beast::tcp_stream &stream() { return Stream_; }
 
+  /// Replies are charged to `Held`. `Largest`: of the replies so far.
+  void setMemory(MemoryHolder &Held, std::atomic<std::size_t> &Largest) {
+    Held_ = &Held;
+    LargestReply_ = &Largest;
+  }
+
   void beginRequest(unsigned Version) {
     Version_ = Version;
     Started_ = false;
@@ -48,6 +58,11 @@
   Task<bool> send(int Status, std::string_view ContentType, std::string Body,
                   Headers Extra) override {
     Started_ = true;
+    if (!holdReply(Body.size())) {
+      Status = 503;
+      Body.clear();
+      Extra = {{"Retry-After", "1"}};
+    }
     bhttp::response<bhttp::string_body> Reply(
         static_cast<bhttp::status>(Status), Version_);
     Reply.set(bhttp::field::content_type,
@@ -63,6 +78,11 @@
     co_return !Failure;
   }
 
+  Task<bool> sendBusy() {
+    Headers Extra = {{"Retry-After", "1"}};
+    return send(503, "text/plain", "no memory left\n", std::move(Extra));
+  }
+
   Task<bool> startStream(int Status, std::string_view ContentType,
                          Headers Extra) override {
     Started_ = true;
@@ -130,7 +150,18 @@
   }
 
 private:
+  bool holdReply(std::size_t Bytes) {
+    if (!Held_)
+      return true;
+    Held_->shrinkTo(Bytes);
+    const bool Held = Held_->tryHold(Bytes, SteadyClock().now());
+    *LargestReply_ = std::max(LargestReply_->load(), Bytes);
+    return Held;
+  }
+
   beast::tcp_stream Stream_;
+  MemoryHolder *Held_ = nullptr; ///< null: replies are not charged
+  std::atomic<std::size_t> *LargestReply_ = nullptr;
   bool &KeepAlive_;
   std::shared_ptr<std::function<void()>> Watch_;
   unsigned Version_ = 11;
@@ -146,8 +177,53 @@
   FailureBody Describe;
   std::atomic<std::size_t> Active = 0;
   std::atomic<bool> Stopping = false;
-  std::mutex Mutex; ///< guards Idle
+  std::atomic<std::size_t> LargestReply = 0;
+  std::mutex Mutex; ///< guards the members below
   std::unordered_set<Tcp::socket *> Idle;
+  /// When the last request began.
+  std::map<Tcp::socket *, TimePoint> Open;
+};
+
+void shutDown(Tcp::socket &Socket) {
+  Code Ignored;
+  Socket.shutdown(Tcp::socket::shutdown_both, Ignored);
+}
+
+/// Registers a connection as open; closes another one if they are too many.
+class OpenScope {
+public:
+  OpenScope(Shared &State, Tcp::socket &Socket)
+      : State_(State), Socket_(Socket) {
+    const std::lock_guard Lock(State_.Mutex);
+    const std::size_t Most = State_.Options.MaxConnections;
+    if (Most > 0 && State_.Open.size() >= Most) {
+      const auto Oldest =
+          std::min_element(State_.Open.begin(), State_.Open.end(),
+                           [](const auto &Left, const auto &Right) {
+                             return Left.second < Right.second;
+                           });
+      shutDown(*Oldest->first);
+      State_.Open.erase(Oldest);
+    }
+    State_.Open.emplace(&Socket_, SteadyClock().now());
+  }
+  OpenScope(const OpenScope &) = delete;
+  OpenScope &operator=(const OpenScope &) = delete;
+  ~OpenScope() {
+    const std::lock_guard Lock(State_.Mutex);
+    State_.Open.erase(&Socket_);
+  }
+
+  void recordRequest() {
+    const std::lock_guard Lock(State_.Mutex);
+    const auto Found = State_.Open.find(&Socket_);
+    if (Found != State_.Open.end())
+      Found->second = SteadyClock().now();
+  }
+
+private:
+  Shared &State_;
+  Tcp::socket &Socket_;
 };
 
 /// Registers a connection as idle while it waits for its next request.
@@ -270,9 +346,18 @@
 Task<void> serveConnection(std::shared_ptr<Shared> State, Tcp::socket Socket) {
   bool KeepAlive = true;
   Connection Peer(std::move(Socket), KeepAlive);
+  OpenScope Open(*State, Peer.stream().socket());
   // Its limit ends requests whose next part, such as a chunk's extension, never
   // ends.
-  beast::flat_buffer Buffer(State->Options.MaxHeadBytes + MaxBufferedBytes);
+  beast::flat_buffer Buffer(
+      State->Options.MaxHeadBytes +
+      std::min(MaxBufferedBytes, State->Options.MaxBodyBytes));
+  std::optional<MemoryHolder> Held;
+  if (State->Options.Memory) {
+    Held.emplace(*State->Options.Memory,
+                 [&Peer] { shutDown(Peer.stream().socket()); });
+    Peer.setMemory(*Held, State->LargestReply);
+  }
   while (KeepAlive) {
     Parser Parsed;
     if (!co_await readRequest(*State, Peer, Buffer, Parsed, KeepAlive))
@@ -280,7 +365,17 @@
     const ActiveScope Active(State->Active);
     KeepAlive = Parsed.get().keep_alive() && !State->Stopping;
     Peer.beginRequest(Parsed.get().version());
-    co_await State->Handle(toRequest(Parsed), Peer);
+    Open.recordRequest();
+    // Held before the reply is made. Its size is not known by then.
+    bool HasMemory = true;
+    if (Held)
+      HasMemory = co_await holdMemory(*Held, State->LargestReply + 1);
+    if (HasMemory)
+      co_await State->Handle(toRequest(Parsed), Peer);
+    else
+      co_await Peer.sendBusy();
+    if (Held)
+      Held->reset();
     Peer.stopWatching();
     // A reply that was given up in the middle ends with its connection, so
     // that the caller does not wait for the rest.
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -2,6 +2,7 @@
 
 #include "cassiashed/base/clock.h"
 #include "http/asio.h"
+#include "http/memory_account.h"
 #include "http/message.h"
 #include <functional>
 #include <memory>
@@ -18,6 +19,12 @@
   std::size_t MinBodyBytesPerSecond = 16 * 1024;
   Duration IdleTimeout = std::chrono::seconds(75); ///< between requests
   int SendBufferBytes = 16 * 1024; ///< kernel buffer of one connection
+  /// Above it, the connection whose last request is the oldest is closed; 0: no
+  /// limit.
+  std::size_t MaxConnections = 0;
+  /// Holds the replies of `send` until they are written; null: not limited. It
+  /// is used on the server's only thread.
+  MemoryAccount *Memory = nullptr;
 };
 
 /// Why a request could not be read; answered before the handler is reached.
