--- a/tests/process/gateway_crowd_test.py
+++ b/tests/process/gateway_crowd_test.py
@@ -78,10 +78,11 @@
         return peers
 
     def unread(self):
-        """Bytes in the receive queues of the process's connections."""
+        """Bytes in the receive queues of the process's ports."""
         ports = {f"{port:04X}" for port in (self.gateway.port, self.gateway.internal_port)}
         lines = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
-        return [fields[4] for fields in map(str.split, lines) if fields[1].split(":")[1] in ports]
+        return sum(int(fields[4].split(":")[1], 16) for fields in map(str.split, lines)
+                   if fields[1].split(":")[1] in ports)
 
     def wait_until_read(self):
         """Until the process has read what it takes: its queues are empty or stay as they are."""
