Take odd statuses and early unframed answers for failed attempts

A status outside 100 to 599 reached the caller as an answer, or as status 0 with an empty body. An answer without a length that began while the request was still being sent, and whose sender then ended in order, reached the caller as whole. Both are failures of the attempt now: repeated where the route allows it, else answered 502, which promises nothing.

--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -100,9 +100,12 @@
       co_return false;
     }
     Count = Piece.size() - Parser.get().body().size;
-    if (Parser.is_done() && framingOf(Parser) == Framing::Close &&
-        http::isReset(Connection.Socket)) {
-      FailureCause_ = "the connection was reset";
+    const bool EndsWithConnection =
+        Parser.is_done() && framingOf(Parser) == Framing::Close;
+    if (EndsWithConnection &&
+        (AnswersEarly_ || http::isReset(Connection.Socket))) {
+      FailureCause_ = AnswersEarly_ ? "an early answer without a length"
+                                    : "the connection was reset";
       Piece.clear();
       co_return false;
     }
--- a/src/gateway/exchange_receive.cpp
+++ b/src/gateway/exchange_receive.cpp
@@ -2,6 +2,7 @@
 
 #include "cassiashed/balancing/first_byte_timeout.h"
 #include "gateway/endpoint_refusal.h"
+#include "http/peek.h"
 #include <limits>
 
 namespace cassiashed::gateway {
@@ -89,7 +90,13 @@
       co_return AttemptResult::Failed;
     }
     const int Status = static_cast<int>(Parser->get().result_int());
-    if (Status >= 100 && Status < 200) {
+    if (!http::isHttpStatus(Status)) {
+      FailureCause_ = "a status that HTTP does not have";
+      State_.recordOutcome(*Endpoint, EndpointOutcome::Broken);
+      MayHaveRun_ = true;
+      co_return AttemptResult::Failed;
+    }
+    if (Status < 200) {
       Parser.reset();
       continue;
     }
@@ -134,6 +141,7 @@
   if (Ended)
     co_return *Ended;
   EndpointFraming_ = framingOf(*Parser);
+  AnswersEarly_ = !Sending->Done || http::hasUnsentBytes(Connection->Socket);
   const int Status = static_cast<int>(Parser->get().result_int());
   recordEndpointState(Endpoint, Answer);
   if (provesNotRun(Status, Answer)) {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include "http/dead_peer.h"
+#include "http/peek.h"
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
@@ -89,6 +90,11 @@
       }
     } while (bhttp::to_status_class(Parser_->get().result_int()) ==
              bhttp::status_class::informational);
+    if (!isHttpStatus(static_cast<int>(Parser_->get().result_int()))) {
+      Failure_ = ClientFailure::NotAnswered;
+      co_return std::nullopt;
+    }
+    AnswersEarly_ = hasUnsentBytes(Stream_.socket());
     Response Head;
     Head.Status = static_cast<int>(Parser_->get().result_int());
     for (const auto &Field : Parser_->get())
@@ -112,6 +118,13 @@
         co_return std::nullopt;
       }
       const std::size_t Count = Piece.size() - Parser_->get().body().size;
+      // The end of the connection shows that an answer without a length is
+      // whole only if its peer had taken the whole request.
+      if (Parser_->is_done() && Parser_->need_eof() &&
+          (AnswersEarly_ || isReset(Stream_.socket()))) {
+        Failure_ = ClientFailure::Truncated;
+        co_return std::nullopt;
+      }
       if (Count > 0)
         co_return std::string(Piece.data(), Count);
     }
@@ -139,6 +152,7 @@
   beast::flat_buffer Buffer_;
   /// Of the answer; set by `readHead`.
   std::optional<bhttp::response_parser<bhttp::buffer_body>> Parser_;
+  bool AnswersEarly_ = false; ///< before the whole request was sent
   ClientFailure Failure_ = ClientFailure::None;
 };
 
--- a/src/http/client_test.cpp
+++ b/src/http/client_test.cpp
@@ -144,3 +144,15 @@
     CHECK_FALSE(Caller.ask(std::string(Answer), Ending::Close));
   }
 }
+
+// Guards against a failing peer whose bytes are taken for an answer.
+TEST_CASE("an answer with a status that HTTP does not have is none") {
+  Asker Caller;
+  for (const std::string Status : {"000", "001", "099", "600", "999"}) {
+    CAPTURE(Status);
+    const std::string Answer =
+        "HTTP/1.1 " + Status + " Odd\r\nContent-Length: 2\r\n\r\n{}";
+    CHECK_FALSE(Caller.ask(Answer, Ending::Close));
+    CHECK(Caller.failure() == ClientFailure::NotAnswered);
+  }
+}
--- a/src/http/peek.cpp
+++ b/src/http/peek.cpp
@@ -1,6 +1,8 @@
 #include "http/peek.h"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 
 namespace cassiashed::http {
 
@@ -31,4 +33,9 @@
   return Failure == asio::error::not_connected;
 }
 
+bool hasUnsentBytes(Tcp::socket &Socket) {
+  int Count = 0;
+  return ::ioctl(Socket.native_handle(), SIOCOUTQ, &Count) == 0 && Count > 0;
+}
+
 } // namespace cassiashed::http
--- a/src/http/peek.h
+++ b/src/http/peek.h
@@ -22,4 +22,12 @@
 /// an orderly end.
 bool isReset(const Tcp::socket &Socket);
 
+/// Whether bytes that were written have not reached the peer's machine yet.
+bool hasUnsentBytes(Tcp::socket &Socket);
+
+/// Whether `Status` is one of HTTP's. Others are no answer.
+constexpr bool isHttpStatus(int Status) {
+  return Status >= 100 && Status < 600;
+}
+
 } // namespace cassiashed::http
