--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -2,6 +2,8 @@
 
 #include "gateway/descriptor_limit.h"
 #include "gateway/exchange.h"
+#include "gateway/read_refusal.h"
+#include "gateway/read_timeout.h"
 #include "gateway/request_body.h"
 #include "http/memory_wait.h"
 #include "http/peek.h"
@@ -40,36 +42,6 @@
 constexpr Duration AcceptRetryDelay{20};
 constexpr std::chrono::seconds DeadCallerTimeout{10};
 
-/// Cancels the operations of a socket if it is not destroyed within `Timeout`.
-class ReadTimeout {
-public:
-  ReadTimeout(Tcp::socket &Socket, Duration Timeout)
-      : State_(std::make_shared<State>()),
-        Timer_(Socket.get_executor(), Timeout) {
-    State_->Socket = &Socket;
-    Timer_.async_wait([Watched = State_](Code Failure) {
-      if (Failure || !Watched->Socket)
-        return;
-      Watched->Expired = true;
-      Code Ignored;
-      Watched->Socket->cancel(Ignored);
-    });
-  }
-  ReadTimeout(const ReadTimeout &) = delete;
-  ReadTimeout &operator=(const ReadTimeout &) = delete;
-  ~ReadTimeout() { State_->Socket = nullptr; }
-
-  bool hasExpired() const { return State_->Expired; }
-
-private:
-  struct State {
-    Tcp::socket *Socket = nullptr; ///< null once the ReadTimeout is destroyed
-    bool Expired = false;
-  };
-  std::shared_ptr<State> State_;
-  asio::steady_timer Timer_;
-};
-
 class Connection;
 
 /// State that a server shares with its connections.
@@ -104,29 +76,6 @@
   return Names[static_cast<std::size_t>(End)];
 }
 
-/// Why a request was not read, and what its caller is told.
-struct ReadRefusal {
-  int Status = 0; ///< 0: the caller is gone
-  std::string Reason;
-  std::optional<Duration> RetryAfter;
-};
-
-/// Status for a request that could not be read; 0 if the caller disconnected.
-int statusOfReadFailure(const Code &Failure, bool TimedOut) {
-  if (TimedOut)
-    return 408;
-  if (Failure == bhttp::error::header_limit)
-    return 431;
-  if (Failure == bhttp::error::body_limit)
-    return 413;
-  if (Failure.category() ==
-          make_error_code(bhttp::error::bad_method).category() &&
-      Failure != bhttp::error::end_of_stream &&
-      Failure != bhttp::error::partial_message)
-    return 400;
-  return 0;
-}
-
 class Connection {
 public:
   Connection(std::shared_ptr<ServerState> Server, Tcp::socket Socket)
@@ -346,13 +295,11 @@
   }
 
   ReadRefusal refusalWithoutRoom() {
-    const bool IsMemory = !IsEvicted_ && gateway().Memory.waitingCount() > 0;
     gateway().Log.write("caller_dropped", gateway().now(), [&](LogLine &Line) {
       Line.field("dropped", Memory_.isDropped())
           .field("evicted", IsEvicted_)
           .field("held_bytes", Memory_.bytes())
-          .field("used_bytes", gateway().Memory.usedBytes())
-          .field("others_wait", IsMemory);
+          .field("used_bytes", gateway().Memory.usedBytes());
     });
     return {503, "no memory or no connections left", NoRoomRetryAfter};
   }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -35,7 +35,7 @@
 constexpr std::size_t MinServerConnections = 8;
 constexpr std::size_t MaxServerConnections = 256;
 /// Allocations from this size on are mappings of their own.
-constexpr int MappedAllocationBytes = 128 * 1024;
+constexpr int MappedAllocationBytes = 256 * 1024;
 
 class Gateway {
 public:
--- a/src/gateway/request_body.h
+++ b/src/gateway/request_body.h
@@ -55,8 +55,8 @@
   private:
     /// Bodies up to it grow in one string.
     static constexpr std::size_t FirstBytes = 64 * 1024;
-    /// Above the allocator's limit for mappings: the unused end of a block
-    /// takes no memory, and a freed one returns to the system.
+    /// A mapping of its own (`M_MMAP_THRESHOLD` in gateway.cpp): its unused end
+    /// takes no memory, and a freed block returns to the system.
     static constexpr std::size_t BlockBytes = 256 * 1024;
 
     std::string First_;
