--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -257,6 +257,7 @@
     Parser.eager(true); // a read takes all that has arrived
     if (!Length || *Length > Buffer_.size())
       Buffer_.reserve(BodyReadBytes);
+    bool HasGroup = false;
     while (!Failure && !Parser.is_done()) {
       std::size_t Body = Parser.get().body().size() + BodyReadBytes;
       Body += BodyStepBytes - Body % BodyStepBytes;
@@ -264,8 +265,10 @@
         Body = std::min<std::size_t>(Body, *Length);
       const std::size_t Needed = HeadMemory_ + Buffer_.capacity() + Body;
       if (Needed > Memory_.bytes()) {
-        if (Needed > gateway().Memory.limits().SmallBytes)
+        if (!HasGroup && Needed > gateway().Memory.limits().SmallBytes) {
           Memory_.setGroup(workspaceOf(Parser));
+          HasGroup = true;
+        }
         const bool Held = co_await http::holdMemory(Memory_, Needed);
         if (!Held)
           co_return false;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -207,7 +207,9 @@
     Options.MaxConnections = std::clamp<std::size_t>(
         static_cast<std::size_t>(State_.Settings.Limits.FileDescriptors) / 16,
         MinServerConnections, MaxServerConnections);
-    Options.Memory = &State_.Memory;
+    // The balancer and the operator get their short replies in any case.
+    if (Handle == &Gateway::answerRowsRequest)
+      Options.Memory = &State_.Memory;
     return http::startServer(
         Context_, Options,
         [this, Handle](http::Request Call,
