--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -100,9 +100,12 @@
       co_return false;
     }
     Count = Piece.size() - Parser.get().body().size;
-    if (Parser.is_done() && framingOf(Parser) == Framing::Close &&
-        http::isReset(Connection.Socket)) {
-      FailureCause_ = "the connection was reset";
+    const bool EndsWithConnection =
+        Parser.is_done() && framingOf(Parser) == Framing::Close;
+    if (EndsWithConnection &&
+        (AnswersEarly_ || http::isReset(Connection.Socket))) {
+      FailureCause_ = AnswersEarly_ ? "an early answer without a length"
+                                    : "the connection was reset";
       Piece.clear();
       co_return false;
     }
@@ -199,7 +202,15 @@
   BufferedAnswer Answer;
   Answer.Head = makeAnswerHead(Parser);
   std::string Piece;
-  while (!Parser.is_done() && Answer.Body.size() < MaxBufferedAnswerBytes) {
+  // Where memory is short, an answer is passed on as it comes.
+  const std::size_t HeldBytes = Request_.Memory->bytes();
+  const auto CanBuffer = [&] {
+    return Answer.Body.empty() ||
+           Request_.Memory->tryHold(HeldBytes + Answer.Body.size() + PieceBytes,
+                                    State_.now());
+  };
+  while (!Parser.is_done() && Answer.Body.size() < MaxBufferedAnswerBytes &&
+         CanBuffer()) {
     setEndpointDeadline(wholeAnswerDeadline());
     const bool Read = co_await readPiece(Connection, Parser, Piece);
     if (!Read)
