--- a/apps/cassiashed/main.cpp
+++ b/apps/cassiashed/main.cpp
@@ -97,7 +97,14 @@
 }
 
 int runCheck(const po::variables_map &Values) {
-  return checkFile(readArgument(Values, "FILE"), std::cout, std::cerr);
+  CheckOptions Options;
+  Options.File = readArgument(Values, "FILE");
+  if (Values.count("in-force") != 0)
+    Options.InForceFile = Values["in-force"].as<std::string>();
+  if (Values.count("host-memory-mb") != 0)
+    Options.HostMemoryMb = Values["host-memory-mb"].as<std::uint32_t>();
+  Options.AsJson = Values.count("json") != 0;
+  return checkFile(Options, std::cout, std::cerr);
 }
 
 int runExplain(const po::variables_map &Values) {
@@ -171,8 +178,20 @@
               addAuthorOption(Line);
             },
             runApply},
-    Command{"check", "FILE", "check a settings or deployment file",
-            [](CommandLine &Line) { Line.addArgument("FILE"); }, runCheck},
+    Command{"check", "FILE [--in-force FILE] [--host-memory-mb N] [--json]",
+            "check a settings or deployment file, or a configuration of the "
+            "platform",
+            [](CommandLine &Line) {
+              Line.addArgument("FILE");
+              Line.Options.add_options()(
+                  "in-force", po::value<std::string>()->value_name("FILE"),
+                  "configuration of the platform that is in force, to compare "
+                  "with")("host-memory-mb",
+                          po::value<std::uint32_t>()->value_name("N"),
+                          "memory of a host, compared with the body limit")(
+                  "json", "print the result as one JSON object");
+            },
+            runCheck},
     Command{"explain", "ID FILE...",
             "collect what the gateways' logs say of one request",
             [](CommandLine &Line) {
--- a/apps/cassiashed/usage_test.sh
+++ b/apps/cassiashed/usage_test.sh
@@ -28,6 +28,7 @@
 expectCode 2 drain
 expectCode 2 status --node 127.0.0.1:1
 expectCode 1 check /nonexistent
+expectCode 2 check /nonexistent --host-memory-mb many
 expectCode 1 node --settings /nonexistent
 expectCode 2 explain
 expectCode 1 explain id /nonexistent
--- a/include/cassiashed/admin/exit_code.h
+++ b/include/cassiashed/admin/exit_code.h
@@ -9,11 +9,13 @@
   ExitUsage = 2,
   ExitConflict = 3, ///< another version of the configuration is in force
   ExitUnknown = 4,  ///< the change may have taken effect
+  ExitWarnings = 5, ///< checked without an error, but with warnings
 };
 
 /// Text for `--help`.
 inline constexpr const char *ExitCodeHelp =
     "Exit codes: 0 success, 1 refused or failed, 2 usage, 3 conflict with "
-    "another\nversion of the configuration, 4 outcome unknown.\n";
+    "another\nversion of the configuration, 4 outcome unknown, 5 valid with "
+    "warnings.\n";
 
 } // namespace cassiashed::admin
--- a/src/admin/check.cpp
+++ b/src/admin/check.cpp
@@ -1,5 +1,6 @@
 #include "cassiashed/admin/check.h"
 
+#include "admin/check_platform_config.h"
 #include "admin/file.h"
 #include "cassiashed/admin/exit_code.h"
 #include "cassiashed/config/deployment.h"
@@ -48,11 +49,20 @@
 
 } // namespace
 
-int checkFile(const std::string &File, std::ostream &Out,
+int checkFile(const CheckOptions &Options, std::ostream &Out,
               std::ostream &Errors) {
+  const std::string &File = Options.File;
   const auto Text = readTextFile(File, Errors);
   if (!Text)
     return ExitFailed;
+  if (isPlatformConfig(*Text))
+    return checkPlatformConfig(Options, *Text, Out, Errors);
+  if (Options.InForceFile || Options.HostMemoryMb || Options.AsJson) {
+    Errors << File
+           << ": the options apply to a configuration of the platform (a JSON "
+              "object) only\n";
+    return ExitUsage;
+  }
   const FileKind Kind = findKind(*Text);
   if (Kind == FileKind::Unclear) {
     Errors << File
