Add singleton duties: lease, usage reports and orders of replicas

The platform expects two kinds of calls from one node at a time and does not check their fence. A module of decisions (duties) holds the lease, the counts and the number of replicas; duty_runner makes the calls.

--- a/apps/cassiashed/main.cpp
+++ b/apps/cassiashed/main.cpp
@@ -11,6 +11,7 @@
 #include "cassiashed/gateway/gateway.h"
 #include "cassiashed/node/node.h"
 #include "connection.h"
+#include "platform/duty_api_client.h"
 #include "platform/platform_protocol.h"
 #include "platform/store_client.h"
 #include <array>
@@ -84,6 +85,9 @@
   Adapter.Protocol = platform::makePlatformProtocol();
   Adapter.Store =
       platform::makeStoreClient({Options->Store.Host, Options->Store.Port});
+  if (Options->Duties)
+    Adapter.Duties = platform::makeDutyApiClient(
+        {Options->Duties->Api.Host, Options->Duties->Api.Port});
   return gateway::runGateway(*Options, Path, std::move(Adapter));
 }
 
--- a/include/cassiashed/balancing/fleet_load.h
+++ b/include/cassiashed/balancing/fleet_load.h
@@ -3,6 +3,7 @@
 #include "cassiashed/balancing/placement.h"
 #include "cassiashed/engine/engine_timeline.h"
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,6 +40,10 @@
   /// Requests in flight at an endpoint, from all nodes.
   int outstanding(const std::string &EndpointId) const;
 
+  /// Called with every request that is recorded for the first time.
+  void setOnNewRequest(std::function<void(const Assignment &)> Callback) {
+    OnNewRequest_ = std::move(Callback);
+  }
   /// Records a request that was sent; replaces an earlier one with its id.
   void assign(const Assignment &Assigned, TimePoint Now);
   /// The decode engine's endpoint of a request; null if the request is unknown.
@@ -63,6 +68,7 @@
   void removeParts(const Assignment &Assigned, TimePoint Now);
 
   PlacementOptions Options_;
+  std::function<void(const Assignment &)> OnNewRequest_;
   std::unordered_map<std::string, std::unique_ptr<engine::EngineTimeline>>
       Timelines_;
   std::unordered_map<std::string, int> Outstanding_;
--- a/include/cassiashed/catalog/service_config.h
+++ b/include/cassiashed/catalog/service_config.h
@@ -45,6 +45,13 @@
   }
 };
 
+/// Limits of the number of replicas that may be ordered, in each zone.
+struct ServiceScaling {
+  int Minimum = 0;
+  int Maximum = 0;
+  Duration Boot{0}; ///< from the order until a new replica serves
+};
+
 struct Service {
   std::string Name;
   std::string HealthPath;
@@ -52,6 +59,7 @@
   Duration ColdStart{0};            ///< duration of a replica's warm-up
   double ColdRequestsPerSecond = 0; ///< limit of a cold replica; 0: none
   std::optional<engine::EngineSpec> Engine; ///< none: not a model engine
+  std::optional<ServiceScaling> Scaling;    ///< none: replicas are not ordered
 };
 
 struct Workspace {
--- a/include/cassiashed/config/gateway_settings.h
+++ b/include/cassiashed/config/gateway_settings.h
@@ -55,12 +55,31 @@
   Duration Revoke{5000};
 };
 
+/// Duties that the deployment wants, see GatewayDuties.
+struct GatewayDutySet {
+  bool UsageReporting = false;
+  bool Scaling = false;
+};
+
+/// Calls to the platform's API that one node at a time makes for all.
+struct GatewayDuties {
+  HostPort Api;
+  GatewayDutySet Carried;
+  double CallsPerSecond = 1; ///< from all nodes
+  /// In this time holders must not act in the order A, B, A.
+  Duration Lease{3000};
+  Duration UsageWindow{5000};
+  /// From the end of a window until its report must have arrived.
+  Duration UsageLate{10000};
+};
+
 struct GatewaySettings {
   GatewayIdentity Gateway;
   HostPort Store;
   GatewayCluster Cluster;
   GatewayLimits Limits;
   GatewayBounds Bounds;
+  std::optional<GatewayDuties> Duties; ///< none: the platform has no such API
 };
 
 /// Parses a settings file. Returns nothing and adds every error to `Errors`
--- a/include/cassiashed/gateway/gateway.h
+++ b/include/cassiashed/gateway/gateway.h
@@ -10,12 +10,14 @@
 
 class PlatformProtocol;
 class StoreClient;
+class DutyApi;
 
 /// The parts that depend on the platform whose store, endpoints and callers
 /// the gateway talks to.
 struct GatewayAdapter {
   std::unique_ptr<PlatformProtocol> Protocol;
   std::unique_ptr<StoreClient> Store;
+  std::unique_ptr<DutyApi> Duties; ///< null: the platform has no such API
 };
 
 /// Runs until SIGTERM, then drains the requests in progress. Returns the exit
--- a/src/balancing/fleet_load.cpp
+++ b/src/balancing/fleet_load.cpp
@@ -18,6 +18,8 @@
 }
 
 void FleetLoad::assign(const Assignment &Assigned, TimePoint Now) {
+  if (OnNewRequest_ && Active_.count(Assigned.Request.Id) == 0)
+    OnNewRequest_(Assigned);
   finish(Assigned.Request.Id, Now);
   for (std::size_t Index = 0; Index < Assigned.Parts.size(); ++Index) {
     const AssignedPromptPart &Part = Assigned.Parts[Index];
--- a/src/config/gateway_settings.cpp
+++ b/src/config/gateway_settings.cpp
@@ -130,6 +130,36 @@
                                                         MillisecondsForm),
 };
 
+/// Duties of other names are left to later versions.
+std::optional<GatewayDutySet> parseDuties(std::string_view Text) {
+  GatewayDutySet Result;
+  for (const std::string &Word : splitWords(Text)) {
+    Result.UsageReporting |= Word == "usage_reporting";
+    Result.Scaling |= Word == "scaling";
+  }
+  return Result;
+}
+
+/// A window of no length would have no number.
+std::optional<Duration> parseWindow(std::string_view Text) {
+  const auto Value = parseSeconds(Text);
+  return Value && *Value > Duration(0) ? Value : std::nullopt;
+}
+
+constexpr std::array DutyRules = {
+    makeRule<&GatewayDuties::Api, parseHostPort>("address", HostPortForm, true),
+    makeRule<&GatewayDuties::Carried, parseDuties>("duties", "duty names",
+                                                   true),
+    makeRule<&GatewayDuties::CallsPerSecond, parsePositive>("calls_per_second",
+                                                            PositiveForm),
+    makeRule<&GatewayDuties::Lease, parseMilliseconds>("lease_ms",
+                                                       MillisecondsForm),
+    makeRule<&GatewayDuties::UsageWindow, parseWindow>("usage_window_s",
+                                                       PositiveForm),
+    makeRule<&GatewayDuties::UsageLate, parseSeconds>("usage_late_s",
+                                                      NumberForm),
+};
+
 struct GatewaySection {
   std::string_view Name;
   bool Required;
@@ -162,6 +192,11 @@
                       ProblemReporter &Report) {
                      readKeys(From, BoundRules, To.Bounds, Report);
                    }},
+    GatewaySection{"duties", false,
+                   [](const IniSection &From, GatewaySettings &To,
+                      ProblemReporter &Report) {
+                     readKeys(From, DutyRules, To.Duties.emplace(), Report);
+                   }},
 };
 
 void readSection(const IniSection &Section, std::set<std::string_view> &Seen,
--- /dev/null
+++ b/src/duties/lease.cpp
@@ -0,0 +1,144 @@
+#include "cassiashed/duties/lease.h"
+
+#include <algorithm>
+
+namespace cassiashed::duties {
+namespace {
+
+/// Fences of one era of the store; the era is in the bits above. Fences stay
+/// below 2^53, which JSON numbers hold exactly, for eras below 2^29.
+constexpr int EraShift = 24;
+/// Time before the next call after the store refused one.
+constexpr Duration RefusalPause{500};
+
+Duration between(BootTime From, BootTime To) {
+  return std::chrono::duration_cast<Duration>(To - From);
+}
+
+} // namespace
+
+LeaseTimes leaseTimesFor(Duration Bound) {
+  return {.Term = Bound * 3 / 2, .ActFor = Bound, .RenewEvery = Bound / 2};
+}
+
+Lease::Lease(LeaseTimes Times, LeaseRow Self)
+    : Times_(Times), Self_(std::move(Self)) {}
+
+std::uint64_t Lease::nextFence() const {
+  const std::uint64_t Stored = Known_.Row ? Known_.Row->Fence : 0;
+  return std::max({Stored, HighestFence_, Era_ << EraShift}) + 1;
+}
+
+void Lease::loseLease() {
+  Holds_ = false;
+  ActUntil_ = {};
+}
+
+void Lease::enterEra(std::uint64_t Era) {
+  KnowsRow_ = false;
+  NeedsRead_ = true;
+  Era_ = Era;
+  KnowsEra_ = true;
+  loseLease();
+}
+
+Lease::Step Lease::nextStep(BootTime Now, bool MayAcquire, Duration ExtraWait) {
+  if (CallOpen_ || Now < RefusedUntil_ || (!Holds_ && !MayAcquire))
+    return Step::None;
+  if (NeedsRead_ || !KnowsRow_)
+    return Step::Read;
+  if (Holds_)
+    return Now - WriteSentAt_ >= Times_.RenewEvery ? Step::Write : Step::None;
+  // A missing row waits as well: the store may have lost it while its holder
+  // still acts.
+  return Now - UnchangedSince_ > Times_.Term + ExtraWait ? Step::Write
+                                                         : Step::None;
+}
+
+LeaseRow Lease::beginWrite(BootTime Now) {
+  CallOpen_ = true;
+  WriteSentAt_ = Now;
+  WrittenFence_ = Holds_ ? Fence_ : nextFence();
+  LeaseRow Row = Self_;
+  Row.Fence = WrittenFence_;
+  Row.Era = Era_;
+  return Row;
+}
+
+void Lease::noteRow(const StoredLease &Found, BootTime Now) {
+  if (!KnowsRow_ || Found.Version != Known_.Version)
+    UnchangedSince_ = Now;
+  Known_ = Found;
+  KnowsRow_ = true;
+  NeedsRead_ = false;
+  if (Known_.Row)
+    HighestFence_ = std::max(HighestFence_, Known_.Row->Fence);
+}
+
+void Lease::recordRead(const StoredLease &Found, BootTime Now) {
+  CallOpen_ = false;
+  if (!KnowsEra_ || Found.Era != Era_)
+    enterEra(Found.Era);
+  noteRow(Found, Now);
+  if (!Known_.Row || !isOwn(*Known_.Row)) {
+    loseLease();
+    return;
+  }
+  // An own write whose answer was lost. It gives no right to act before the
+  // next renewal is confirmed.
+  Holds_ = true;
+  Fence_ = Known_.Row->Fence;
+}
+
+void Lease::recordReadFailure(BootTime Now) {
+  CallOpen_ = false;
+  RefusedUntil_ = Now + RefusalPause;
+}
+
+void Lease::recordWrite(WriteOutcome Outcome, std::uint64_t Version,
+                        std::uint64_t Era, BootTime Now) {
+  CallOpen_ = false;
+  if (Outcome == WriteOutcome::Refused) {
+    RefusedUntil_ = Now + RefusalPause;
+    return;
+  }
+  if (Outcome != WriteOutcome::Done) {
+    NeedsRead_ = true;
+    return;
+  }
+  if (Era != Era_) {
+    // The condition held by chance: the store is an older copy, in which other
+    // nodes count the term from another version.
+    enterEra(Era);
+    return;
+  }
+  LeaseRow Row = Self_;
+  Row.Fence = WrittenFence_;
+  Row.Era = Era;
+  noteRow({Row, Version, Era}, Now);
+  Holds_ = true;
+  Fence_ = WrittenFence_;
+  ActUntil_ = WriteSentAt_ + Times_.ActFor;
+}
+
+void Lease::recordPeerHolder(const StoredLease &Stated, BootTime Now) {
+  if (!Stated.Row || Stated.Row->Fence < HighestFence_)
+    return; // an earlier holder that does not know that it lost the lease
+  HighestFence_ = Stated.Row->Fence;
+  if (Holds_ && Stated.Row->Fence <= Fence_)
+    return;
+  loseLease();
+  if (!KnowsEra_ || Stated.Era != Era_) {
+    // Only the store itself proves in which era it is.
+    NeedsRead_ = true;
+    return;
+  }
+  if (!CallOpen_ && (!KnowsRow_ || Stated.Version >= Known_.Version))
+    noteRow(Stated, Now);
+}
+
+Duration Lease::remaining(BootTime Now) const {
+  return Holds_ && Now < ActUntil_ ? between(Now, ActUntil_) : Duration(0);
+}
+
+} // namespace cassiashed::duties
--- a/src/gateway/exchange_attempt.cpp
+++ b/src/gateway/exchange_attempt.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange_internal.h"
 
+#include "gateway/duty_runner.h"
 #include "http/peek.h"
 #include <array>
 #include <boost/asio/write.hpp>
@@ -216,6 +217,10 @@
   if (FirstByteSeen_)
     return;
   FirstByteSeen_ = true;
+  if (State_.Duties && Workspace_ && !IsUsageCounted_) {
+    IsUsageCounted_ = true;
+    State_.Duties->countRequest(Workspace_->Name);
+  }
   const TimePoint Now = State_.now();
   State_.Load.markStarted(DispatchRequest_.Work.Id, Now);
   if (Service_->Engine) {
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -296,6 +296,7 @@
   std::vector<std::string> ExcludedIds_;
   /// The key was removed, or could not be confirmed, before a send.
   bool KeyNotConfirmed_ = false;
+  bool IsUsageCounted_ = false; ///< once, however many attempts began to run
   bool FirstByteSeen_ = false;
   TimePoint SentAt_;
   TimePoint LastPieceSentAt_; ///< of the stream; unset before the first piece
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,8 @@
 #include "cassiashed/base/event_log.h"
 #include "gateway/caller_server.h"
 #include "gateway/catalog_updater.h"
+#include "gateway/duty_api.h"
+#include "gateway/duty_runner.h"
 #include "gateway/exchange.h"
 #include "gateway/row_follower.h"
 #include "gateway/row_messages.h"
@@ -156,9 +158,21 @@
                                  const http::Address &Peer) {
       RowFollower_->recordPeerCoverage(Report, Peer);
     };
+    Events.OwnDuties = [this](bool ToCandidates) {
+      return State_.Duties ? State_.Duties->ownMessage(ToCandidates)
+                           : std::optional<DutyMessage>();
+    };
+    Events.PeerDuties = [this](const DutyMessage &Message,
+                               const DutySender &From) {
+      if (State_.Duties)
+        State_.Duties->handleMessage(Message, From);
+    };
     Events.NewerRows = [this](catalog::Table TableId, http::Address Peer) {
       RowFollower_->fetchFrom(TableId, std::move(Peer));
     };
+    if (Adapter_.Duties && State_.Settings.Duties)
+      State_.Duties = std::make_unique<DutyRunner>(
+          State_, *Adapter_.Store, *Adapter_.Duties, Options.Incarnation);
     State_.Nodes = startNodeNetwork(Context_, std::move(Options),
                                     std::move(Events), Reason);
     return State_.Nodes != nullptr;
@@ -328,6 +342,8 @@
     State_.Load.expire(Now);
     refreshKeys();
     RowFollower_->refreshIfStale();
+    if (State_.Duties)
+      State_.Duties->tick();
     if (Now - LastHousekeeping_ >= HousekeepingPeriod) {
       LastHousekeeping_ = Now;
       State_.Pool.closeExpired(Now);
@@ -453,6 +469,8 @@
                      static_cast<double>(State_.Nodes->unsentMessages()));
     Metrics.setGauge("store_answers", RowFollower_->storeAnswers() ? 1 : 0);
     Metrics.setGauge("ready", isReady() ? 1 : 0);
+    if (State_.Duties)
+      State_.Duties->setGauges();
     setAge("operator_rows_age_seconds", State_.OperatorFreshness);
     setAge("endpoint_rows_age_seconds", State_.EndpointFreshness);
   }
--- a/src/gateway/gateway_state.cpp
+++ b/src/gateway/gateway_state.cpp
@@ -1,5 +1,6 @@
 #include "gateway/gateway_state.h"
 
+#include "gateway/duty_runner.h"
 #include "gateway/shared_placement.h"
 
 #include <algorithm>
--- a/src/gateway/gateway_state.h
+++ b/src/gateway/gateway_state.h
@@ -19,6 +19,7 @@
 namespace cassiashed::gateway {
 
 class Exchange;
+class DutyRunner;
 class SharedPlacement;
 
 /// Content that was running on an endpoint when its connection broke. It counts
@@ -58,6 +59,7 @@
   EndpointConnectionPool Pool;
   std::unique_ptr<NodeNetwork> Nodes;
   std::unique_ptr<SharedPlacement> Placement;
+  std::unique_ptr<DutyRunner> Duties; ///< null: the deployment has none
   std::unique_ptr<GatewayMetrics> Metrics;
   RateLimitedLog Log;
   std::vector<InterruptedRun> InterruptedRuns;
--- a/src/gateway/node_messages.h
+++ b/src/gateway/node_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cassiashed/balancing/fleet_load.h"
+#include "gateway/duty_messages.h"
 #include "gateway/placement_messages.h"
 #include "gateway/row_messages.h"
 #include <cstdint>
@@ -16,7 +17,7 @@
 
 /// Increased when the meaning of a message changes. Messages of other formats
 /// are ignored.
-inline constexpr std::uint32_t NodeMessageFormat = 1;
+inline constexpr std::uint32_t NodeMessageFormat = 2;
 
 /// The load of a request on one of its endpoints.
 struct AssignmentPart {
@@ -114,12 +115,15 @@
   std::uint64_t RowsUpTo = 0;
   /// In heartbeats: coverage of the tables that the sender follows.
   std::vector<CoverageMessage> Coverage;
+  /// In heartbeats, if the deployment has duties: one element.
+  std::vector<DutyMessage> Duties;
   MSGPACK_DEFINE(Format, Node, Incarnation, LastOperatorChange,
                  LastEndpointChange, Following, EndpointRows, Started,
                  FirstTokens, Finished, Crashes, UnresponsiveEndpoints,
                  KnownNodes, FreshnessQueryAt, FreshnessReplyTo,
                  OperatorTableAgeMs, CpuShare, KnowsFleetLoad, PlacementQueries,
-                 PlacementReplies, Outcomes, RowsAfter, RowsUpTo, Coverage)
+                 PlacementReplies, Outcomes, RowsAfter, RowsUpTo, Coverage,
+                 Duties)
 };
 
 AssignmentMessage toAssignmentMessage(const balancing::Assignment &Assignment);
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -317,6 +317,9 @@
             {Change.Key, Change.Value, Change.Version, Change.Removed});
       Events_.EndpointRows(std::move(Batch));
     }
+    for (const DutyMessage &Duties : Message->Duties)
+      Events_.PeerDuties(Duties,
+                         {Message->Node, From->Host, Message->Incarnation});
     handleCoverage(*Message, *From);
     scheduleCatchUp(*Message);
     if (Message->FreshnessQueryAt != 0)
@@ -458,10 +461,16 @@
       for (const Peer *Candidate : Peers_.bestRanked(PlacerCandidateCount))
         Message.KnownNodes.push_back(Candidate->Host);
     }
-    if (sendsHeartbeatsToAll())
+    const bool ToAll = sendsHeartbeatsToAll();
+    // In a large fleet only the best-ranked nodes may take over a duty.
+    const bool ToCandidates = !ToAll || !hasRoles();
+    addDuties(Message, ToCandidates);
+    if (ToAll)
       sendToAll(Message);
     else
       sendToBestRanked(Message);
+    if (!ToCandidates)
+      sendDutiesToCandidates();
     ++HeartbeatCount_;
     HeartbeatTimer_.expires_after(Period);
     HeartbeatTimer_.async_wait([this](Code Failure) {
@@ -470,6 +479,17 @@
     });
   }
 
+  void addDuties(NodeMessage &Message, bool ToCandidates) const {
+    if (std::optional<DutyMessage> Own = Events_.OwnDuties(ToCandidates))
+      Message.Duties.push_back(std::move(*Own));
+  }
+  void sendDutiesToCandidates() {
+    NodeMessage Message = makeMessage();
+    addDuties(Message, true);
+    if (!Message.Duties.empty())
+      sendToBestRanked(Message);
+  }
+
   void markLost(Peer &Node) {
     Node.Lost = true;
     // Nodes of a large fleet send heartbeats to those with roles, and to all
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -29,6 +29,13 @@
   std::vector<std::string> SeedHosts;
 };
 
+/// The process that sent a message for the duties.
+struct DutySender {
+  std::string Node;
+  std::string Host;
+  std::uint64_t Incarnation = 0;
+};
+
 /// Callbacks for messages of other nodes, and for data that is sent to them. A
 /// request is identified by the id of its assignment.
 struct NodeNetworkEvents {
@@ -65,6 +72,10 @@
       PeerCoverage;
   /// `Peer` holds rows that this node lacks.
   std::function<void(catalog::Table, http::Address Peer)> NewerRows;
+  /// Returns what this node tells others for the duties. `ToCandidates`: the
+  /// receivers may take over a duty and get all of it.
+  std::function<std::optional<DutyMessage>(bool ToCandidates)> OwnDuties;
+  std::function<void(const DutyMessage &, const DutySender &)> PeerDuties;
 };
 
 /// Datagrams between the gateways of a deployment. In a small fleet every node
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -12,6 +12,7 @@
 
 enum class StoreStatus {
   Ok,
+  Conflict,    ///< a condition did not hold; nothing was written
   HistoryGone, ///< changes are no longer kept; read the whole table
   Busy,        ///< refused; nothing was executed
   Unreachable, ///< no valid response; a write may have been executed
@@ -24,9 +25,17 @@
   std::uint64_t Version = 0; ///< store version up to which Rows are complete
   /// The store's steady clock when it responded, if stated.
   std::optional<Duration> StoreTime;
+  /// Changes when the store lost rows that it had acknowledged.
+  std::uint64_t Era = 0;
   std::string Reason; ///< of a failure, for the log
 };
 
+/// A row of the duties' table to write.
+struct DutyWrite {
+  std::string Key;
+  std::string Value;
+};
+
 /// Client of the platform's store, for the tables that the gateways share.
 class StoreClient {
 public:
@@ -41,6 +50,13 @@
   /// Writes a row of the nodes' table and overwrites an existing one.
   virtual http::Task<StoreRows> writeNode(std::string Key,
                                           std::string Value) = 0;
+  /// Reads all rows of the duties' table.
+  virtual http::Task<StoreRows> readDuties() = 0;
+  /// Writes rows of the duties' table, all or none, if row `ConditionKey` has
+  /// version `Expected`; 0: does not exist. Version of the result: of the rows.
+  virtual http::Task<StoreRows> writeDuties(std::string ConditionKey,
+                                            std::uint64_t Expected,
+                                            std::vector<DutyWrite> Rows) = 0;
 };
 
 } // namespace cassiashed::gateway
