--- a/include/cassiashed/duties/scaling.h
+++ b/include/cassiashed/duties/scaling.h
@@ -67,6 +67,9 @@
     bool IsUnclear = false; ///< the last one was not confirmed
   };
   static Duration holdTime(const ScalingLimits &Limits);
+  static Duration rateWindow(const ScalingLimits &Limits);
+  /// Engines that the work of the busiest known interval of this length took.
+  double peakUse(Duration Window) const;
 
   std::deque<Bin> Bins_;
   std::optional<TimePoint> FirstWorkAt_;
--- a/src/duties/scaling.cpp
+++ b/src/duties/scaling.cpp
@@ -7,14 +7,17 @@
 namespace {
 
 constexpr Duration BinLength{500};
-/// The rate of work is averaged over this long: shorter times show single long
-/// prompts, longer ones hide the begin of a burst.
-constexpr Duration RateWindow{3000};
-/// Share of an engine's time that arriving work may take. Above, requests queue
+/// Shortest time over which the rate of work is averaged; shorter ones show
+/// single long prompts.
+constexpr Duration MinRateWindow{3000};
+/// Share of an engine's time that lasting work may take. Above, requests queue
 /// behind long prompts and miss the objective of their first token. On 60
-/// engines a burst of long prompts that took about 0.8 of their time left 95 %
-/// of the requests within their objectives.
+/// engines a burst of long prompts that took about 0.8 of their time for 3 s
+/// left 95 % of the requests within their objectives.
 constexpr double TargetUse = 0.8;
+/// Share above which engines fall behind within seconds: replicas are ordered
+/// before the rate has lasted for the boot of one.
+constexpr double SaturatedUse = 1;
 /// Fewer replicas are ordered only if the peak of the hold time allows it.
 constexpr Duration MinHold{8000};
 constexpr double HoldPerBoot = 1.25;
@@ -54,27 +57,37 @@
       MinHold, std::chrono::duration_cast<Duration>(Limits.Boot * HoldPerBoot));
 }
 
-std::optional<double> ReplicaPlanner::wanted(const ScalingLimits &Limits,
-                                             TimePoint Now) {
-  const Duration Hold = holdTime(Limits);
-  while (!Bins_.empty() && Now - Bins_.front().Start > Hold + RateWindow)
-    Bins_.pop_front();
-  if (!FirstWorkAt_ || Now - *FirstWorkAt_ < RateWindow)
-    return std::nullopt;
-  // The largest rate of any interval of RateWindow that ends within the hold
-  // time.
+Duration ReplicaPlanner::rateWindow(const ScalingLimits &Limits) {
+  // A peak shorter than a boot is over before a replica that it calls for
+  // serves.
+  return std::max(MinRateWindow, Limits.Boot);
+}
+
+double ReplicaPlanner::peakUse(Duration Window) const {
   double Peak = 0;
   double Sum = 0;
   std::size_t First = 0;
-  for (std::size_t Last = 0; Last < Bins_.size(); ++Last) {
-    Sum += Bins_[Last].EngineMs;
-    while (Bins_[Last].Start + BinLength - Bins_[First].Start > RateWindow) {
+  for (const Bin &Last : Bins_) {
+    Sum += Last.EngineMs;
+    while (Last.Start + BinLength - Bins_[First].Start > Window) {
       Sum -= Bins_[First].EngineMs;
       ++First;
     }
     Peak = std::max(Peak, Sum);
   }
-  return Peak / static_cast<double>(RateWindow.count()) / TargetUse;
+  return Peak / static_cast<double>(Window.count());
+}
+
+std::optional<double> ReplicaPlanner::wanted(const ScalingLimits &Limits,
+                                             TimePoint Now) {
+  const Duration Window = rateWindow(Limits);
+  while (!Bins_.empty() &&
+         Now - Bins_.front().Start > holdTime(Limits) + Window)
+    Bins_.pop_front();
+  if (!FirstWorkAt_ || Now - *FirstWorkAt_ < MinRateWindow)
+    return std::nullopt;
+  return std::max(peakUse(Window) / TargetUse,
+                  peakUse(MinRateWindow) / SaturatedUse);
 }
 
 std::vector<ReplicaOrder>
