Take the fence from the version of the write that took the lease

The property test found two holders with one fence: a node that had not heard of a new era overwrote the row, since the version that it expected existed again, and the counter in the row was lost.

--- a/include/cassiashed/duties/lease.h
+++ b/include/cassiashed/duties/lease.h
@@ -15,8 +15,10 @@
   std::string Holder;  ///< name of the node
   std::string Address; ///< of the node; names may move to another machine
   std::uint64_t Incarnation = 0; ///< random, of the holder's process
-  std::uint64_t Fence = 0;       ///< increases with every change of holder
-  std::uint64_t Era = 0;         ///< of the store when the holder took it
+  /// Increases with every change of holder. 0 in the write that takes the
+  /// lease: its fence is the version that the store gives to this write.
+  std::uint64_t Fence = 0;
+  std::uint64_t Era = 0; ///< of the store when the holder took it
 };
 
 /// The lease's row as a response of the store shows it.
@@ -51,7 +53,12 @@
 /// A holder acts only for `ActFor` after the moment at which it *sent* the last
 /// renewal that the store confirmed; another node takes over only after it saw
 /// the same version of the row for `Term`. So two holders never act at once,
-/// whatever is slow, lost or frozen. Not thread-safe.
+/// whatever is slow, lost or frozen.
+///
+/// The fence is the version that the store gave to the write that took the
+/// lease, with the store's era in the bits above. A counter in the row would
+/// not do: a node that has not heard of a new era may overwrite the row with a
+/// lower one. Not thread-safe.
 class Lease {
 public:
   Lease(LeaseTimes Times, LeaseRow Self);
@@ -95,7 +102,7 @@
   void noteRow(const StoredLease &Found, BootTime Now);
   /// Everything known about the row belongs to another state of the store.
   void enterEra(std::uint64_t Era);
-  std::uint64_t nextFence() const;
+  static std::uint64_t fenceOf(const StoredLease &Stored);
   void loseLease();
 
   LeaseTimes Times_;
@@ -112,7 +119,7 @@
   bool CallOpen_ = false;
   bool Holds_ = false;
   std::uint64_t Fence_ = 0;
-  std::uint64_t WrittenFence_ = 0; ///< of the open or last write
+  LeaseRow Written_; ///< by the open or last write
   std::uint64_t HighestFence_ = 0;
 };
 
--- a/src/duties/lease.cpp
+++ b/src/duties/lease.cpp
@@ -5,9 +5,9 @@
 namespace cassiashed::duties {
 namespace {
 
-/// Fences of one era of the store; the era is in the bits above. Fences stay
-/// below 2^53, which JSON numbers hold exactly, for eras below 2^29.
-constexpr int EraShift = 24;
+/// Versions of one era of the store; the era is in the bits above. Fences stay
+/// below 2^53, which JSON numbers hold exactly, for eras below 2^13.
+constexpr int EraShift = 40;
 /// Time before the next call after the store refused one.
 constexpr Duration RefusalPause{500};
 
@@ -24,9 +24,11 @@
 Lease::Lease(LeaseTimes Times, LeaseRow Self)
     : Times_(Times), Self_(std::move(Self)) {}
 
-std::uint64_t Lease::nextFence() const {
-  const std::uint64_t Stored = Known_.Row ? Known_.Row->Fence : 0;
-  return std::max({Stored, HighestFence_, Era_ << EraShift}) + 1;
+std::uint64_t Lease::fenceOf(const StoredLease &Stored) {
+  if (!Stored.Row)
+    return 0;
+  return Stored.Row->Fence != 0 ? Stored.Row->Fence
+                                : (Stored.Era << EraShift) + Stored.Version;
 }
 
 void Lease::loseLease() {
@@ -58,11 +60,10 @@
 LeaseRow Lease::beginWrite(BootTime Now) {
   CallOpen_ = true;
   WriteSentAt_ = Now;
-  WrittenFence_ = Holds_ ? Fence_ : nextFence();
-  LeaseRow Row = Self_;
-  Row.Fence = WrittenFence_;
-  Row.Era = Era_;
-  return Row;
+  Written_ = Self_;
+  Written_.Fence = Holds_ ? Fence_ : 0;
+  Written_.Era = Era_;
+  return Written_;
 }
 
 void Lease::noteRow(const StoredLease &Found, BootTime Now) {
@@ -71,23 +72,30 @@
   Known_ = Found;
   KnowsRow_ = true;
   NeedsRead_ = false;
-  if (Known_.Row)
-    HighestFence_ = std::max(HighestFence_, Known_.Row->Fence);
+  // An own row with a fence below one that was heard of comes from an older
+  // copy of the store.
+  const bool Own =
+      Known_.Row && isOwn(*Known_.Row) &&
+      (Known_.Row->Fence == 0 || Known_.Row->Fence >= HighestFence_);
+  if (Own && !Holds_)
+    // Above the fences of earlier holders, also if the store's versions went
+    // back without a new era.
+    Fence_ = Known_.Row->Fence != 0
+                 ? Known_.Row->Fence
+                 : std::max(fenceOf(Known_), HighestFence_ + 1);
+  HighestFence_ = std::max(HighestFence_, Own ? Fence_ : fenceOf(Known_));
+  if (!Own)
+    loseLease();
+  Holds_ = Own;
 }
 
 void Lease::recordRead(const StoredLease &Found, BootTime Now) {
   CallOpen_ = false;
   if (!KnowsEra_ || Found.Era != Era_)
     enterEra(Found.Era);
+  // An own write whose answer was lost makes this node the holder, but gives no
+  // right to act before the next renewal is confirmed.
   noteRow(Found, Now);
-  if (!Known_.Row || !isOwn(*Known_.Row)) {
-    loseLease();
-    return;
-  }
-  // An own write whose answer was lost. It gives no right to act before the
-  // next renewal is confirmed.
-  Holds_ = true;
-  Fence_ = Known_.Row->Fence;
 }
 
 void Lease::recordReadFailure(BootTime Now) {
@@ -112,21 +120,15 @@
     enterEra(Era);
     return;
   }
-  LeaseRow Row = Self_;
-  Row.Fence = WrittenFence_;
-  Row.Era = Era;
-  noteRow({Row, Version, Era}, Now);
-  Holds_ = true;
-  Fence_ = WrittenFence_;
+  noteRow({Written_, Version, Era}, Now);
   ActUntil_ = WriteSentAt_ + Times_.ActFor;
 }
 
 void Lease::recordPeerHolder(const StoredLease &Stated, BootTime Now) {
-  if (!Stated.Row || Stated.Row->Fence < HighestFence_)
+  const std::uint64_t Fence = fenceOf(Stated);
+  if (Fence < HighestFence_ || (Holds_ && Fence == Fence_))
     return; // an earlier holder that does not know that it lost the lease
-  HighestFence_ = Stated.Row->Fence;
-  if (Holds_ && Stated.Row->Fence <= Fence_)
-    return;
+  HighestFence_ = Fence;
   loseLease();
   if (!KnowsEra_ || Stated.Era != Era_) {
     // Only the store itself proves in which era it is.
--- a/src/gateway/duty_rows.cpp
+++ b/src/gateway/duty_rows.cpp
@@ -46,8 +46,8 @@
   Row.Incarnation = readUnsigned(*Value, "incarnation");
   Row.Fence = readUnsigned(*Value, "fence");
   Row.Era = readUnsigned(*Value, "era");
-  if (Row.Fence == 0)
-    Reason = "fence is missing";
+  if (Row.Holder.empty())
+    Reason = "holder is missing";
   return Result;
 }
 
