--- a/src/duties/lease.cpp
+++ b/src/duties/lease.cpp
@@ -45,6 +45,8 @@
 }
 
 Lease::Step Lease::nextStep(BootTime Now, bool MayAcquire, Duration ExtraWait) {
+  if (!Holds_ && !MayAcquire)
+    NeedsRead_ = true; // what is known gets old
   if (CallOpen_ || Now < RefusedUntil_ || (!Holds_ && !MayAcquire))
     return Step::None;
   if (NeedsRead_ || !KnowsRow_)
--- a/src/gateway/duty_runner.cpp
+++ b/src/gateway/duty_runner.cpp
@@ -112,12 +112,15 @@
 }
 
 std::optional<std::size_t> DutyRunner::rank() const {
-  const std::vector<std::string> Candidates = State_.Nodes->placers();
-  const auto Own =
-      std::find(Candidates.begin(), Candidates.end(), State_.Nodes->ownHost());
-  if (Own == Candidates.end() || State_.Stopping)
+  // Others get neither the counts nor the load of the fleet. By the nodes'
+  // table, so that nodes that hear no better-ranked one do not all become
+  // candidates.
+  if (State_.Stopping || !State_.Nodes->isDutyCandidate())
     return std::nullopt;
-  return static_cast<std::size_t>(Own - Candidates.begin());
+  const std::vector<std::string> Placers = State_.Nodes->placers();
+  const auto Own =
+      std::find(Placers.begin(), Placers.end(), State_.Nodes->ownHost());
+  return static_cast<std::size_t>(Own - Placers.begin());
 }
 
 void DutyRunner::tick() {
--- a/src/gateway/duty_runner.h
+++ b/src/gateway/duty_runner.h
@@ -39,7 +39,8 @@
 
   void recordWork(const balancing::Assignment &Work);
   std::int64_t unixMs() const;
-  /// Position among the candidates for the lease; nothing if not among them.
+  /// Position among the candidates for the lease, those that do not place
+  /// requests last; nothing if not among them.
   std::optional<std::size_t> rank() const;
   void followLease(BootTime Now);
   http::Task<void> readLeaseRow();
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -156,6 +156,9 @@
   bool canPlaceOnColdEndpoints() const override {
     return Peers_.isAmongBestRanked(PlacerCandidateCount);
   }
+  bool isDutyCandidate() const override {
+    return Peers_.isAmongBestRanked(PlacerCandidateCount);
+  }
   const std::string &ownHost() const override { return Options_.Internal.Host; }
   void sendPlacementQuery(const std::string &Host,
                           const PlacementQuery &Query) override {
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -118,6 +118,9 @@
   /// stays bounded in every network partition.
   virtual int coldPlacerCount() const = 0;
   virtual bool canPlaceOnColdEndpoints() const = 0;
+  /// Whether this node gets what candidates for the duties need, see
+  /// `NodeNetworkEvents::OwnDuties`.
+  virtual bool isDutyCandidate() const = 0;
   virtual const std::string &ownHost() const = 0;
   virtual void sendPlacementQuery(const std::string &Host,
                                   const PlacementQuery &Query) = 0;
--- a/tests/standins/users_platform/store.py
+++ b/tests/standins/users_platform/store.py
@@ -111,12 +111,24 @@
         elif url.path == "/rows-feed":
             self._follow(call, query)
         elif url.path == "/rows-tx":
-            for write in json.loads(body)["writes"]:
-                self.put(write["table"], write["key"], base64.b64decode(write["value"]))
-            self._reply(call, 200, {"rowVersion": self._version})
+            self._transact(call, json.loads(body))
         else:
             self._reply(call, 404, {})
 
+    def _transact(self, call, body):
+        with self._changed:
+            for wanted in body["expectedRevision"]:
+                row = self._rows.get((wanted["table"], wanted["key"]))
+                if wanted["rowVersion"] != (row["version"] if row and not row["gone"] else 0):
+                    self._reply(call, 412, {"rows": [], "rowVersion": self._version, "nowMs": self._now_ms()})
+                    return
+            self._version += 1
+            for write in body["writes"]:
+                self._rows[write["table"], write["key"]] = {
+                    "value": base64.b64decode(write["value"]), "version": self._version, "gone": False}
+            self._changed.notify_all()
+            self._reply(call, 200, {"rowVersion": self._version, "nowMs": self._now_ms()})
+
     def _follow(self, call, query):
         after = int(query["afterRevision"])
         end = time.monotonic() + int(query["waitMs"]) / 1000
