--- a/src/gateway/duty_runner.cpp
+++ b/src/gateway/duty_runner.cpp
@@ -196,6 +196,10 @@
   Lease_.recordWrite(Outcome, Result.Version, Result.Era, BootClock::now());
   if (Outcome == duties::WriteOutcome::Done && Record && Lease_.isHolder())
     Reporter_.recordConfirmed();
+  // A holder that fails now must not cost the candidates a read, and a wait
+  // from then on.
+  if (Outcome == duties::WriteOutcome::Done && Lease_.isHolder())
+    State_.Nodes->announceDuties();
   if (Outcome != duties::WriteOutcome::Done)
     State_.Log.write(
         "duty_lease_write_failed", State_.now(), [&](LogLine &Line) {
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -159,6 +159,7 @@
   bool isDutyCandidate() const override {
     return Peers_.isAmongBestRanked(PlacerCandidateCount);
   }
+  void announceDuties() override { sendDutiesToCandidates(); }
   const std::string &ownHost() const override { return Options_.Internal.Host; }
   void sendPlacementQuery(const std::string &Host,
                           const PlacementQuery &Query) override {
