--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -121,8 +121,8 @@
   /// Whether this node gets what candidates for the duties need, see
   /// `NodeNetworkEvents::OwnDuties`.
   virtual bool isDutyCandidate() const = 0;
-  /// Sends what this node tells the candidates for the duties, ahead of the next
-  /// heartbeat.
+  /// Sends what this node tells the candidates for the duties, ahead of the
+  /// next heartbeat.
   virtual void announceDuties() = 0;
   virtual const std::string &ownHost() const = 0;
   virtual void sendPlacementQuery(const std::string &Host,
