--- a/src/gateway/duty_runner.cpp
+++ b/src/gateway/duty_runner.cpp
@@ -317,6 +317,7 @@
       ++Registered[Endpoint->Entry.Zone];
   }
   std::vector<duties::ZoneReplicas> Result;
+  Result.reserve(Known.size());
   for (const std::string &Zone : Known)
     Result.push_back(
         {Zone, Registered[Zone], !State_.Directory.isZoneOut(Zone)});
