--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,8 @@
 #include "cassiashed/base/event_log.h"
 #include "gateway/caller_server.h"
 #include "gateway/catalog_updater.h"
+#include "gateway/duty_api.h"
+#include "gateway/duty_runner.h"
 #include "gateway/exchange.h"
 #include "gateway/node_row.h"
 #include "gateway/peer_rows.h"
@@ -172,9 +174,21 @@
                                  const http::Address &Peer) {
       RowFollower_->recordPeerCoverage(Report, Peer);
     };
+    Events.OwnDuties = [this](bool ToCandidates) {
+      return State_.Duties ? State_.Duties->ownMessage(ToCandidates)
+                           : std::optional<DutyMessage>();
+    };
+    Events.PeerDuties = [this](const DutyMessage &Message,
+                               const DutySender &From) {
+      if (State_.Duties)
+        State_.Duties->handleMessage(Message, From);
+    };
     Events.NewerRows = [this](catalog::Table TableId, http::Address Peer) {
       RowFollower_->fetchFrom(TableId, std::move(Peer));
     };
+    if (Adapter_.Duties && State_.Settings.Duties)
+      State_.Duties = std::make_unique<DutyRunner>(
+          State_, *Adapter_.Store, *Adapter_.Duties, Options.Incarnation);
     State_.Nodes = startNodeNetwork(Context_, std::move(Options),
                                     std::move(Events), Reason);
     return State_.Nodes != nullptr;
@@ -336,6 +350,8 @@
     State_.Memory.reclaim(Now);
     refreshKeys();
     RowFollower_->refreshIfStale();
+    if (State_.Duties)
+      State_.Duties->tick();
     if (Now - LastHousekeeping_ >= HousekeepingPeriod) {
       LastHousekeeping_ = Now;
       State_.Pool.closeExpired(Now);
@@ -477,6 +493,8 @@
                          RowFollower_->era(catalog::Table::Operator),
                          RowFollower_->era(catalog::Table::Endpoints))));
     Metrics.setGauge("ready", isReady() ? 1 : 0);
+    if (State_.Duties)
+      State_.Duties->setGauges();
     setAge("operator_rows_age_seconds", State_.OperatorFreshness);
     setAge("endpoint_rows_age_seconds", State_.EndpointFreshness);
   }
--- a/src/gateway/node_messages.h
+++ b/src/gateway/node_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cassiashed/balancing/fleet_load.h"
+#include "gateway/duty_messages.h"
 #include "gateway/placement_messages.h"
 #include "gateway/row_messages.h"
 #include <cstdint>
@@ -132,6 +133,8 @@
   std::uint64_t EndpointEra = 0;
   std::uint64_t RowsEra = 0;
   std::vector<StatedLoadReport> StatedLoads;
+  /// In heartbeats, if the deployment has duties: one element.
+  std::vector<DutyMessage> Duties;
 
   catalog::StoreVersion lastOperatorChange() const {
     return {OperatorEra, LastOperatorChange};
@@ -145,7 +148,7 @@
                  KnownNodes, FreshnessQueryAt, FreshnessReplyTo,
                  OperatorTableAgeMs, CpuShare, KnowsFleetLoad, PlacementQueries,
                  PlacementReplies, Outcomes, RowsAfter, RowsUpTo, Coverage,
-                 OperatorEra, EndpointEra, RowsEra, StatedLoads)
+                 OperatorEra, EndpointEra, RowsEra, StatedLoads, Duties)
 };
 
 AssignmentMessage toAssignmentMessage(const balancing::Assignment &Assignment);
