Let calls of an earlier era wait in the tests of restores

The stand-in refused a waiting call with 410 as soon as the store came back with lower versions, and the tests restored the store before the gateway's next call had begun. So no test had a call of before that waits. Only a call that begins with an unknown version is refused now, and the restore comes after the next call began.

--- a/tests/process/gateway_store_era_test.py
+++ b/tests/process/gateway_store_era_test.py
@@ -28,6 +28,7 @@
         for version in versions:
             self.store.put("op", "config", make_config(version, keys=(KEY, SECOND_KEY)))
         self.wait_for(lambda: self.call("/get/x", key=SECOND_KEY)[0] == 200, "the configuration before", BOUND_SECONDS)
+        time.sleep(0.5)  # the next call waits
         return copy
 
     def publish_after_restore(self, filler=(), **options):
--- a/tests/standins/users_platform/store.py
+++ b/tests/standins/users_platform/store.py
@@ -150,6 +150,7 @@
         with self._changed:
             self._polls += 1
             number = self._polls
+            is_unknown = after > self._version and self.era is not None
             while True:
                 if number <= self._forgotten_polls:
                     self._changed.release()
@@ -159,7 +160,7 @@
                 if number <= self._broken_polls:
                     call.close_connection = True
                     return
-                if after < self._forgotten or (after > self._version and self.era is not None):
+                if after < self._forgotten or is_unknown:
                     status, answer = 410, {}
                     break
                 rows = self._select(query["table"], after, True)
