Log the age of a replica before the rows that the store sent

The replica counted as confirmed before the rows were logged, so known_age_ms and the update age metric were about 0, also without eras. The age is taken before the merge again. test_the_age_before_the_rows_is_logged saw 2 ms after a second without changes before, and passes now.

--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -329,6 +329,8 @@
                            std::uint64_t After, BootTime SentAt,
                            int Follower = 0) {
     const catalog::RowCoverage Before = replica(TableId).coverage();
+    const std::optional<Duration> AgeBefore =
+        freshness(TableId).age(BootClock::now());
     const catalog::TableUpdate Update = copyOf(TableId).mergeFromStore(
         {After, Result.Version, std::move(Result.Rows), ReadAll, Result.Era},
         SentAt, BootClock::now(), Result.StoreTime);
@@ -343,7 +345,7 @@
     if (Update.Taken == RowsTaken::OtherEra)
       return Update.Taken;
     const std::vector<Row> &Changes = Update.Changes;
-    publish(TableId, Update, Before.Era, "store");
+    publish(TableId, Update, Before.Era, AgeBefore, "store");
     stateOf(TableId).NewerPeerCopy.reset();
     if (Update.Taken == RowsTaken::EraBegun) {
       if (Follower != stateOf(TableId).Follower)
@@ -371,7 +373,8 @@
         copyOf(TableId).mergeFromPeer(std::move(Batch));
     if (Update.Taken == RowsTaken::OtherEra)
       return;
-    publish(TableId, Update, Before, Source);
+    publish(TableId, Update, Before, freshness(TableId).age(BootClock::now()),
+            Source);
     if (Update.Taken != RowsTaken::EraBegun)
       return;
     stateOf(TableId).NewerPeerCopy.reset();
@@ -394,8 +397,10 @@
     }
   }
 
+  /// `Age`: of the replica before the update. The changes are not older.
   void publish(Table TableId, const catalog::TableUpdate &Update,
-               std::uint64_t EraBefore, std::string_view Source) {
+               std::uint64_t EraBefore, std::optional<Duration> Age,
+               std::string_view Source) {
     const std::vector<Row> &Changes = Update.Changes;
     const bool BeginsEra = Update.Taken == RowsTaken::EraBegun;
     State_.Nodes->setLastChanges(replica(Table::Operator).lastChange(),
@@ -410,9 +415,6 @@
           .field("source", Source);
     if (Changes.empty() && !BeginsEra)
       return;
-    // The changes are not older than the last confirmation of the copy.
-    const std::optional<Duration> Age =
-        freshness(TableId).age(BootClock::now());
     if (TableId == Table::Endpoints && Age)
       State_.Metrics->observeUpdateAge(*Age);
     State_.Log.write("rows_read", State_.now(), [&](LogLine &Line) {
--- a/tests/process/gateway_store_era_test.py
+++ b/tests/process/gateway_store_era_test.py
@@ -54,6 +54,16 @@
         self.store.put("op", "config", make_config(8, keys=(KEY,)))
         self.wait_for_keys(KEY, SECOND_KEY)
 
+    # Guards against an age that is taken after the rows are confirmed: then it is always zero.
+    def test_the_age_before_the_rows_is_logged(self):
+        time.sleep(1)
+        self.store.put("op", "config", make_config(5, keys=(KEY,)))
+        lines = lambda: [line for line in self.gateway.log_path.read_text().splitlines() if "event=rows_read" in line]
+        count = len(lines())
+        self.wait_for(lambda: len(lines()) > count or "table=operator rows=1" in lines()[-1], "rows", BOUND_SECONDS)
+        age = int(lines()[-1].split("known_age_ms=")[1].split()[0])
+        self.assertGreaterEqual(age, 100)
+
     # Guards against a zone that gets requests again because the store lost the order for some seconds.
     def test_a_lost_evacuation_stays_in_force_until_it_is_written_again(self):
         copy = self.store.copy()
