--- a/src/gateway/row_follower.cpp
+++ b/src/gateway/row_follower.cpp
@@ -255,7 +255,10 @@
       else
         Result = co_await Store_.waitForChanges(
             TableId, After, HasFailed ? NoWait : Policy_.longPollWait(TableId));
-      recordStoreStatus(TableId, Result);
+      // A call that was replaced may fail later than the store came back.
+      if (Number == stateOf(TableId).Follower ||
+          Result.Status == StoreStatus::Ok)
+        recordStoreStatus(TableId, Result);
       HasFailed = Result.Status != StoreStatus::Ok;
       if (Result.Status == StoreStatus::Ok) {
         const RowsTaken Taken =
--- a/tests/process/gateway_store_era_test.py
+++ b/tests/process/gateway_store_era_test.py
@@ -54,6 +54,18 @@
         self.store.put("op", "config", make_config(8, keys=(KEY,)))
         self.wait_for_keys(KEY, SECOND_KEY)
 
+    # Guards against a call of before that fails after it was replaced and counts as a loss of the store.
+    def test_the_call_of_before_fails_after_it_was_replaced(self):
+        copy = self.lose_configurations((5, 6))
+        polls = self.store.polls()
+        self.store.restore(copy, breaks_polls=False)
+        for table in (b"operator", b"endpoints"):
+            line = b"event=store_era_changed table=" + table
+            self.wait_for(lambda line=line: line in self.gateway.log_path.read_bytes(), "era 1", BOUND_SECONDS)
+        self.store.break_polls(polls)
+        time.sleep(0.5)
+        self.assertNotIn(b"event=store_lost", self.gateway.log_path.read_bytes())
+
     # Guards against an age that is taken after the rows are confirmed: then it is always zero.
     def test_the_age_before_the_rows_is_logged(self):
         time.sleep(1)
--- a/tests/standins/users_platform/store.py
+++ b/tests/standins/users_platform/store.py
@@ -75,6 +75,17 @@
                 self._broken_polls = self._polls
             self._changed.notify_all()
 
+    def polls(self):
+        """Number of polls that were begun."""
+        with self._changed:
+            return self._polls
+
+    def break_polls(self, number):
+        """The first `number` polls that still wait lose their connection."""
+        with self._changed:
+            self._broken_polls = number
+            self._changed.notify_all()
+
     def value(self, table, key):
         with self._changed:
             row = self._rows.get((table, key))
