Keep what is known of a removed endpoint over several restores

A tombstone in the new era erased the memory of the removal, so that a second restore from the same copy brought the endpoint back. A row that was held back was used after 10 s also if a further restore did not list it or listed a newer one. A held row now ends with any other row or removal of its endpoint and is held anew from each restore, and a repeated removal begins its memory anew.

--- a/src/gateway/catalog_updater.cpp
+++ b/src/gateway/catalog_updater.cpp
@@ -33,6 +33,8 @@
   if (BeginsEra && TableId == Table::Operator)
     for (auto &[Zone, KeptUntil] : LostZoneOrders_)
       KeptUntil = State_.now() + LostOrderRetention;
+  if (BeginsEra && TableId == Table::Endpoints)
+    Restored_.beginEra(State_.now());
   for (const Row &RowChange : Rows)
     switch (TableId) {
     case Table::Operator:
@@ -104,8 +106,7 @@
                                       TimePoint StoreRegainedAt,
                                       bool BeginsEra) {
   const TimePoint Now = State_.now();
-  if (!BeginsEra)
-    Restored_.forget(RowChange.Key);
+  Restored_.recordRow(RowChange, BeginsEra, Now);
   if (RowChange.Removed) {
     if (!State_.Directory.find(RowChange.Key))
       return;
--- a/src/gateway/restored_endpoints.cpp
+++ b/src/gateway/restored_endpoints.cpp
@@ -61,9 +61,23 @@
              : HeldReason::None;
 }
 
-void RestoredEndpoints::forget(const std::string &Id) {
-  Removals_.erase(Id);
-  Held_.erase(Id);
+void RestoredEndpoints::beginEra(TimePoint Now) {
+  for (auto &[Id, Row] : Held_)
+    Row.Until = Now + RemovedHold;
+}
+
+void RestoredEndpoints::recordRow(const catalog::Row &Arrived, bool BeginsEra,
+                                  TimePoint Now) {
+  Held_.erase(Arrived.Key);
+  if (BeginsEra)
+    return;
+  if (!Arrived.Removed) {
+    Removals_.erase(Arrived.Key);
+    return;
+  }
+  const auto Known = Removals_.find(Arrived.Key);
+  if (Known != Removals_.end())
+    Known->second.At = Now;
 }
 
 std::vector<catalog::Row> RestoredEndpoints::takeDue(TimePoint Now) {
--- a/src/gateway/restored_endpoints.h
+++ b/src/gateway/restored_endpoints.h
@@ -31,8 +31,13 @@
   HeldReason hold(const catalog::Row &Listed, const catalog::Endpoint &Decoded,
                   const catalog::EndpointRef &Known, bool IsLeaving,
                   TimePoint Now);
-  /// A row of this endpoint that was written in this era arrived.
-  void forget(const std::string &Id);
+  /// The store came back again: its rows are held anew from now on.
+  void beginEra(TimePoint Now);
+  /// To be called for each row before it is used. An earlier row of the
+  /// endpoint is held no longer. `BeginsEra`: as for `CatalogUpdater::apply`;
+  /// otherwise the row was written in this era, which ends the memory of a
+  /// removal or, if it is removed once more, begins it anew.
+  void recordRow(const catalog::Row &Arrived, bool BeginsEra, TimePoint Now);
   /// Returns rows that are held no longer and forgets old removals.
   std::vector<catalog::Row> takeDue(TimePoint Now);
 
--- a/src/gateway/restored_endpoints_test.cpp
+++ b/src/gateway/restored_endpoints_test.cpp
@@ -64,6 +64,31 @@
   const catalog::EndpointRef Known = makeKnown(EndpointState::Ready, 10);
   CHECK(Restored.hold(Listed, Removed, Known, true, Start) ==
         HeldReason::Removed);
-  Restored.forget("e");
+  Restored.recordRow(Listed, false, Start);
   CHECK(Restored.takeDue(Start + std::chrono::minutes(1)).empty());
 }
+
+// Guards against a removal that is forgotten when it is repeated, and against a
+// held row that is used after the store came back without it.
+TEST_CASE("several restores keep what is known of a removed endpoint") {
+  RestoredEndpoints Restored;
+  const catalog::Endpoint Removed = makeEndpoint(EndpointState::Ready, 10);
+  const catalog::Row Tombstone{"e", "", 9, true};
+  const auto Hold = [&](TimePoint Now) {
+    return Restored.hold(Listed, Removed, nullptr, false, Now);
+  };
+  Restored.recordRemoval(Removed, Start);
+  CHECK(Hold(Start) == HeldReason::Removed);
+  Restored.recordRow(Tombstone, true, Start);
+  CHECK(Restored.takeDue(Start + std::chrono::seconds(10)).empty());
+
+  // The memory of 60 s begins anew with the repeated removal.
+  const TimePoint Repeated = Start + std::chrono::seconds(50);
+  Restored.recordRow(Tombstone, false, Repeated);
+  CHECK(Restored.takeDue(Start + std::chrono::seconds(70)).empty());
+  const TimePoint Again = Start + std::chrono::seconds(71);
+  CHECK(Hold(Again) == HeldReason::Removed);
+  Restored.beginEra(Again + std::chrono::seconds(8));
+  CHECK(Restored.takeDue(Again + std::chrono::seconds(17)).empty());
+  CHECK(Restored.takeDue(Again + std::chrono::seconds(18)).size() == 1);
+}
--- a/tests/process/gateway_store_era_test.py
+++ b/tests/process/gateway_store_era_test.py
@@ -116,6 +116,44 @@
             self.assertEqual(self.call("/get/x")[0], 200)
         self.assertEqual((leaving.requests, other.requests), ([], []))
 
+    def remove_replica(self, replica):
+        """Returns the copy of before."""
+        copy = self.store.copy()
+        self.store.remove("servers", replica.identity)
+        self.wait_for(lambda: b"event=endpoint_removed" in self.gateway.log_path.read_bytes(), "removed", BOUND_SECONDS)
+        self.forget_requests()
+        return copy
+
+    def restore_and_wait(self, copy, rows=()):
+        self.store.restore(copy, rows)
+        line = f"event=store_era_changed table=endpoints era={self.store.era} ".encode()
+        self.wait_for(lambda: line in self.gateway.log_path.read_bytes(), f"era {self.store.era}", BOUND_SECONDS)
+
+    def call_for(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.assertEqual(self.call("/get/x")[0], 200)
+            time.sleep(0.02)
+
+    # Guards against a removal that is forgotten when it is written again, so that a second copy brings the replica back.
+    def test_a_removed_replica_is_not_used_after_a_second_restore(self):
+        copy = self.remove_replica(self.app[0])
+        self.restore_and_wait(copy)
+        self.store.remove("servers", self.app[0].identity)
+        time.sleep(1)
+        self.restore_and_wait(copy)
+        self.call_for(HELD_SECONDS)
+        self.assertEqual(self.app[0].requests, [])
+
+    # Guards against a row held back in one era that is used in the next, in which the store doesn't have it.
+    def test_a_held_row_ends_with_its_era(self):
+        copy = self.remove_replica(self.app[0])
+        later = self.store.copy()
+        self.restore_and_wait(copy)
+        self.restore_and_wait(later)
+        self.call_for(12)
+        self.assertEqual(self.app[0].requests, [])
+
     # Guards against gateways that starting ones don't find, since their own row is gone.
     def test_the_row_of_a_gateway_is_written_again(self):
         copy = self.store.copy()
