Do not count an endpoint as removed because a restore lost its row

A row that one restore lost and the next listed was held back for 10 s as that of a removed endpoint, while the delayed removal of the first restore took the living endpoint out. Only a removal that the store stated, or the loss of a leaving endpoint's row, counts. test_a_replica_that_only_a_restore_lost_is_used got 503 before.

--- a/src/gateway/catalog_updater.cpp
+++ b/src/gateway/catalog_updater.cpp
@@ -108,12 +108,22 @@
   const TimePoint Now = State_.now();
   Restored_.recordRow(RowChange, BeginsEra, Now);
   if (RowChange.Removed) {
-    if (!State_.Directory.find(RowChange.Key))
+    const catalog::EndpointRef Known = State_.Directory.find(RowChange.Key);
+    if (!Known)
       return;
-    if (BeginsEra || Now - StoreRegainedAt < StoreRecoveryWindow)
-      PendingRemovals_.emplace(RowChange.Key, Now + RemovalDelay);
-    else
+    if (BeginsEra || Now - StoreRegainedAt < StoreRecoveryWindow) {
+      const bool WasLost =
+          BeginsEra && Known->Entry.State != catalog::EndpointState::Draining;
+      PendingRemoval &Pending =
+          PendingRemovals_
+              .try_emplace(RowChange.Key,
+                           PendingRemoval{Now + RemovalDelay, WasLost})
+              .first->second;
+      Pending.WasLost = Pending.WasLost && WasLost;
+    } else {
+      Restored_.recordRemoval(Known->Entry, Now);
       removeEndpoint(RowChange.Key, "left");
+    }
     return;
   }
   std::string Reason;
@@ -121,7 +131,9 @@
       State_.Protocol.decodeEndpoint(RowChange, Reason);
   const catalog::EndpointRef Before = State_.Directory.find(RowChange.Key);
   if (BeginsEra && Decoded) {
-    const bool IsLeaving = PendingRemovals_.count(RowChange.Key) != 0;
+    const auto Pending = PendingRemovals_.find(RowChange.Key);
+    const bool IsLeaving =
+        Pending != PendingRemovals_.end() && !Pending->second.WasLost;
     const HeldReason Held =
         Restored_.hold(RowChange, *Decoded, Before, IsLeaving, Now);
     if (Held != HeldReason::None) {
@@ -165,7 +177,6 @@
   const catalog::EndpointRef Known = State_.Directory.find(Id);
   if (!Known)
     return;
-  Restored_.recordRemoval(Known->Entry, State_.now());
   State_.Directory.remove(Id);
   State_.Pool.closeIdle(Known->Number);
   State_.Load.removeEndpoint(Id);
@@ -216,15 +227,22 @@
   }
   for (const Row &Due : Restored_.takeDue(Now))
     applyEndpointRow(Due, TimePoint(), false);
-  for (auto Removal = PendingRemovals_.begin();
-       Removal != PendingRemovals_.end();) {
-    if (Removal->second > Now) {
-      ++Removal;
+  carryOutRemovals(Now);
+}
+
+void CatalogUpdater::carryOutRemovals(TimePoint Now) {
+  for (auto Next = PendingRemovals_.begin(); Next != PendingRemovals_.end();) {
+    const auto Removal = Next++;
+    const auto [Due, WasLost] = Removal->second;
+    if (Due > Now)
       continue;
-    }
     const std::string Id = Removal->first;
-    Removal = PendingRemovals_.erase(Removal);
-    removeEndpoint(Id, "expired while the store was unavailable");
+    PendingRemovals_.erase(Removal);
+    const catalog::EndpointRef Known = State_.Directory.find(Id);
+    if (Known && !WasLost)
+      Restored_.recordRemoval(Known->Entry, Now);
+    removeEndpoint(Id, WasLost ? "not registered again after a restore"
+                               : "expired while the store was unavailable");
   }
 }
 
--- a/src/gateway/catalog_updater.h
+++ b/src/gateway/catalog_updater.h
@@ -30,12 +30,19 @@
                         TimePoint StoreRegainedAt, bool BeginsEra);
   void applyNodeRow(const catalog::Row &RowChange);
   void removeEndpoint(const std::string &Id, std::string_view Reason);
+  void carryOutRemovals(TimePoint Now);
   void prepareTimelines();
 
   GatewayState &State_;
-  /// Endpoints whose registration expired during an outage of the store, and
-  /// when they are removed unless they register again.
-  std::map<std::string, TimePoint> PendingRemovals_;
+  struct PendingRemoval {
+    TimePoint Due;
+    /// Only a restore of the store lost the row, which does not show that the
+    /// endpoint left.
+    bool WasLost = false;
+  };
+  /// Endpoints whose registration expired during an outage of the store or was
+  /// lost by a restore. They are removed unless they register again.
+  std::map<std::string, PendingRemoval> PendingRemovals_;
   /// Zones out of service whose order the store lost, and until when they stay
   /// so unless the operator writes the order again.
   std::map<std::string, TimePoint> LostZoneOrders_;
--- a/tests/process/gateway_store_era_test.py
+++ b/tests/process/gateway_store_era_test.py
@@ -154,6 +154,21 @@
         self.call_for(12)
         self.assertEqual(self.app[0].requests, [])
 
+    # Guards against a living replica that counts as removed because one restore lost its row and the next has it.
+    def test_a_replica_that_only_a_restore_lost_is_used(self):
+        copy = self.store.copy()
+        for each in self.app:
+            self.store.remove("servers", each.identity)
+        started = self.make_replica("app-2")
+        self.store.put("servers", started.identity, started.entry("app"))
+        self.wait_for(lambda: self.call("/get/x")[0] == 200 and started.requests, "the replica", BOUND_SECONDS)
+        self.restore_and_wait(copy)
+        self.restore_and_wait(copy, [("servers", started.identity, started.entry("app"))])
+        time.sleep(2)
+        started.requests.clear()
+        self.call_for(1)
+        self.assertNotEqual(started.requests, [])
+
     # Guards against gateways that starting ones don't find, since their own row is gone.
     def test_the_row_of_a_gateway_is_written_again(self):
         copy = self.store.copy()
