Read the nodes' table again after the own row was written again

After a restore a node read the table and then wrote its row. A node that wrote its own row in between was found by neither of the two, unless another node knew both. The row is written, then the table is read, as at the start; only nodes whose row was lost read twice.

--- a/src/gateway/node_row.cpp
+++ b/src/gateway/node_row.cpp
@@ -62,12 +62,14 @@
   }
 
   /// Reads the table first: the copy may have the row, and the write is
-  /// charged. A write in a later era than the read is confirmed by its answer.
+  /// charged. After a write it reads once more, as at the start: a node that
+  /// wrote its row after the first read did not find this one.
   http::Task<void> renew() {
     co_await http::sleepFor(
         Duration(std::uniform_int_distribution<std::int64_t>(
             0, RenewalSpreadPerNode.count() *
                    State_.Nodes->possibleNodes())(State_.Random)));
+    std::uint64_t WrittenEra = 0;
     while (ConfirmedEra_ < Era_) {
       StoreRows Result = co_await Store_.readAll(catalog::Table::Nodes);
       if (!isCurrent(Result, "read")) {
@@ -75,27 +77,30 @@
         continue;
       }
       Notify_(Result.Rows);
-      const std::string &Name = State_.Settings.Gateway.Name;
-      const std::string Value = value();
-      const bool IsListed = std::any_of(
-          Result.Rows.begin(), Result.Rows.end(), [&](const catalog::Row &Row) {
-            return Row.Key == Name && Row.Value == Value;
-          });
-      if (!IsListed) {
-        Result = co_await Store_.writeNode(Name, Value);
-        if (!isCurrent(Result, "write")) {
-          co_await http::sleepFor(RetryDelay);
-          continue;
-        }
+      const bool IsWritten = WrittenEra == Result.Era;
+      if (IsWritten || isListed(Result.Rows)) {
+        ConfirmedEra_ = Result.Era;
+        logEvent("node_row_kept")
+            .field("era", ConfirmedEra_)
+            .field("written", IsWritten);
+        continue;
       }
-      ConfirmedEra_ = Result.Era;
-      logEvent("node_row_kept")
-          .field("era", ConfirmedEra_)
-          .field("written", !IsListed);
+      Result = co_await Store_.writeNode(State_.Settings.Gateway.Name, value());
+      if (isCurrent(Result, "write"))
+        WrittenEra = Result.Era;
+      else
+        co_await http::sleepFor(RetryDelay);
     }
     Renewing_ = false;
   }
 
+  bool isListed(const std::vector<catalog::Row> &Rows) const {
+    const std::string Value = value();
+    return std::any_of(Rows.begin(), Rows.end(), [&](const catalog::Row &Row) {
+      return Row.Key == State_.Settings.Gateway.Name && Row.Value == Value;
+    });
+  }
+
   bool isCurrent(const StoreRows &Result, std::string_view Step) const {
     if (Result.Status != StoreStatus::Ok)
       logFailure(Step, Result);
--- a/tests/process/gateway_store_era_test.py
+++ b/tests/process/gateway_store_era_test.py
@@ -1,5 +1,6 @@
 """Gateways whose store comes back from an older copy: versions are given out again in a new era."""
 
+import socket
 import time
 import unittest
 
@@ -177,6 +178,17 @@
         self.assertIsNone(self.store.value("nodes", "g2"))
         self.wait_for(lambda: self.store.value("nodes", "g2"), "the row", BOUND_SECONDS)
 
+    # Guards against two gateways that never find each other: one starts between the read and the write of the other.
+    def test_a_gateway_that_starts_while_the_row_is_written_again_is_found(self):
+        copy = self.store.copy()
+        row = copy[0].pop(("nodes", "g1"))["value"].replace(b"127.0.0.1", b"127.0.0.9")
+        self.store.before_write = lambda: self.store.put("nodes", "started", row)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as started:
+            started.bind(("127.0.0.9", self.gateway.internal_port))
+            started.settimeout(BOUND_SECONDS)
+            self.restore_and_wait(copy)
+            self.assertIn(b"g1", started.recv(65536))
+
     # Guards against a gateway that holds the older era's rows because their versions are higher than a peer's.
     def test_a_gateway_without_the_store_learns_the_era_from_another(self):
         internal, refused = free_ports(2)
--- a/tests/standins/users_platform/store.py
+++ b/tests/standins/users_platform/store.py
@@ -17,6 +17,7 @@
         self.mode = "ok"
         self.body_seconds = 0
         self.era = None
+        self.before_write = lambda: None  # called before a write is carried out
         self._forgotten_polls = 0
         self._broken_polls = 0
         self._polls = 0
@@ -149,6 +150,7 @@
         elif url.path == "/rows-feed":
             self._follow(call, query)
         elif url.path == "/rows-tx":
+            self.before_write()
             for write in json.loads(body)["writes"]:
                 self.put(write["table"], write["key"], base64.b64decode(write["value"]))
             self._reply(call, 200, {"rowVersion": self._version})
