--- a/tests/standins/users_platform/store.py
+++ b/tests/standins/users_platform/store.py
@@ -17,6 +17,7 @@
         self.mode = "ok"
         self.body_seconds = 0
         self.era = None
+        self.before_write = lambda: None  # called before a write is carried out
         self._forgotten_polls = 0
         self._broken_polls = 0
         self._polls = 0
@@ -75,6 +76,17 @@
                 self._broken_polls = self._polls
             self._changed.notify_all()
 
+    def polls(self):
+        """Number of polls that were begun."""
+        with self._changed:
+            return self._polls
+
+    def break_polls(self, number):
+        """The first `number` polls that still wait lose their connection."""
+        with self._changed:
+            self._broken_polls = number
+            self._changed.notify_all()
+
     def value(self, table, key):
         with self._changed:
             row = self._rows.get((table, key))
@@ -138,6 +150,7 @@
         elif url.path == "/rows-feed":
             self._follow(call, query)
         elif url.path == "/rows-tx":
+            self.before_write()
             self._transact(call, json.loads(body))
         else:
             self._reply(call, 404, {})
@@ -162,6 +175,7 @@
         with self._changed:
             self._polls += 1
             number = self._polls
+            is_unknown = after > self._version and self.era is not None
             while True:
                 if number <= self._forgotten_polls:
                     self._changed.release()
@@ -171,7 +185,7 @@
                 if number <= self._broken_polls:
                     call.close_connection = True
                     return
-                if after < self._forgotten or (after > self._version and self.era is not None):
+                if after < self._forgotten or is_unknown:
                     status, answer = 410, {}
                     break
                 rows = self._select(query["table"], after, True)
