Let a full group hold up only its own requests

A large holder that waited for the share of its workspace held up every large holder behind it. It now holds up only its own group. The new case of memory_account_test failed before.

--- a/src/http/memory_account.cpp
+++ b/src/http/memory_account.cpp
@@ -34,11 +34,24 @@
   const std::size_t Large = LargeBytes_ - largePart(Holder.Bytes_) + Bytes;
   Missing = std::max(Missing,
                      excess(Large, Limits_.TotalBytes - Limits_.OrdinaryBytes));
+  return std::max(Missing, missingInGroup(Holder, Bytes));
+}
+
+std::size_t MemoryAccount::missingInGroup(const MemoryHolder &Holder,
+                                          std::size_t Bytes) const {
   const auto Group = GroupBytes_.find(Holder.Group_);
-  if (Holder.Group_.empty() || Group == GroupBytes_.end())
-    return Missing;
-  const std::size_t Grouped = Group->second - largePart(Holder.Bytes_) + Bytes;
-  return std::max(Missing, excess(Grouped, Limits_.GroupBytes));
+  if (isSmall(Bytes) || Holder.Group_.empty() || Group == GroupBytes_.end())
+    return 0;
+  return excess(Group->second - largePart(Holder.Bytes_) + Bytes,
+                Limits_.GroupBytes);
+}
+
+bool MemoryAccount::isAfter(const MemoryHolder &Holder,
+                            const MemoryHolder &Earlier) const {
+  // Who waits for the share of its own group holds up only that group:
+  // otherwise a crowd of one workspace shuts out the others.
+  return Holder.Group_ == Earlier.Group_ ||
+         missingInGroup(Earlier, Earlier.WaitsFor_) == 0;
 }
 
 void MemoryAccount::setBytes(MemoryHolder &Holder, std::size_t Bytes) {
@@ -65,13 +78,19 @@
 void MemoryAccount::serveWaiting() {
   // Large holders are served in turn, so that none of them waits for ever;
   // small ones use the ordinary part meanwhile.
-  bool LargeIsWaiting = false;
+  std::vector<const MemoryHolder *> LargeWaiting;
   for (auto Entry = Waiting_.begin(); Entry != Waiting_.end();) {
     MemoryHolder &Holder = **Entry;
     const std::size_t Bytes = Holder.WaitsFor_;
-    const bool Small = isSmall(Bytes);
-    if ((!Small && LargeIsWaiting) || missingBytes(Holder, Bytes) > 0) {
-      LargeIsWaiting = LargeIsWaiting || !Small;
+    const bool IsNext =
+        isSmall(Bytes) || std::none_of(LargeWaiting.begin(), LargeWaiting.end(),
+                                       [&](const MemoryHolder *Earlier) {
+                                         return isAfter(Holder, *Earlier);
+                                       });
+    if (!IsNext || missingBytes(Holder, Bytes) > 0) {
+      // Those behind it have to wait for whom it waits, too.
+      if (!isSmall(Bytes) && IsNext)
+        LargeWaiting.push_back(&Holder);
       ++Entry;
       continue;
     }
@@ -112,16 +131,20 @@
 void MemoryAccount::reclaim(TimePoint Now) {
   std::size_t Freed = bytesToBeFreed();
   std::size_t Needed = 0;
-  bool LargeIsServed = false;
+  std::vector<const MemoryHolder *> LargeWaiting;
   // Dropping may end the wait of another holder.
   const std::vector<MemoryHolder *> Waiting(Waiting_.begin(), Waiting_.end());
   for (MemoryHolder *Holder : Waiting) {
     if (!Holder->isWaiting() || Holder->Dropped_)
       continue;
-    const bool Small = isSmall(Holder->WaitsFor_);
-    if (!Small && LargeIsServed)
-      continue;
-    LargeIsServed = LargeIsServed || !Small;
+    if (!isSmall(Holder->WaitsFor_)) {
+      if (std::any_of(LargeWaiting.begin(), LargeWaiting.end(),
+                      [&](const MemoryHolder *Earlier) {
+                        return isAfter(*Holder, *Earlier);
+                      }))
+        continue;
+      LargeWaiting.push_back(Holder);
+    }
     const std::size_t Missing = missingBytes(*Holder, Holder->WaitsFor_);
     Needed += std::min(Missing, Holder->WaitsFor_ - Holder->Bytes_);
     while (Freed < Needed) {
@@ -157,7 +180,12 @@
   if (Bytes <= Bytes_)
     return true;
   // Those who wait go first, but for what small holders have of their own.
-  const bool MustQueue = !Account_.Waiting_.empty() && !Account_.isSmall(Bytes);
+  const bool MustQueue =
+      !Account_.isSmall(Bytes) &&
+      std::any_of(Account_.Waiting_.begin(), Account_.Waiting_.end(),
+                  [this](const MemoryHolder *Earlier) {
+                    return Account_.isAfter(*this, *Earlier);
+                  });
   if (MustQueue || Account_.missingBytes(*this, Bytes) > 0)
     return false;
   Account_.setBytes(*this, Bytes);
--- a/src/http/memory_account.h
+++ b/src/http/memory_account.h
@@ -59,6 +59,11 @@
   }
   /// Bytes that have to come free before `Holder` may hold `Bytes`.
   std::size_t missingBytes(const MemoryHolder &Holder, std::size_t Bytes) const;
+  /// The same in the share of its group.
+  std::size_t missingInGroup(const MemoryHolder &Holder,
+                             std::size_t Bytes) const;
+  /// Whether a large `Holder` has to wait until `Earlier` got its memory.
+  bool isAfter(const MemoryHolder &Holder, const MemoryHolder &Earlier) const;
   void setBytes(MemoryHolder &Holder, std::size_t Bytes);
   void moveToGroup(MemoryHolder &Holder, std::string Group);
   void serveWaiting();
--- a/src/http/memory_account_test.cpp
+++ b/src/http/memory_account_test.cpp
@@ -61,6 +61,33 @@
   CHECK(Second.Grants == 1);
 }
 
+// Guards against a crowd of one workspace whose wait for its own share refuses
+// the large requests of all others.
+TEST_CASE("a full group does not hold up the other groups") {
+  MemoryAccount Account(Limits);
+  Peer First(Account);
+  Peer Second(Account);
+  Peer Other(Account);
+  Peer Late(Account);
+  for (Peer *Each : {&First, &Second})
+    Each->Held->setGroup("w1");
+  for (Peer *Each : {&Other, &Late})
+    Each->Held->setGroup("w2");
+  CHECK(First.Held->tryHold(450, Start));
+  First.Held->setPinned(true);
+  Second.wait(100, Start);
+  CHECK(Other.Held->tryHold(250, Start));
+  Late.wait(100, Start); // the large part is used up
+  CHECK(Late.Grants == 0);
+  Account.reclaim(Later);
+  CHECK(Other.Drops == 1);
+  Other.Held.reset();
+  CHECK(Late.Grants == 1);
+  CHECK(Second.Grants == 0);
+  First.Held.reset();
+  CHECK(Second.Grants == 1);
+}
+
 // Guards against peers that stop short of their end and keep what they hold.
 TEST_CASE("who got nothing for the longest time is dropped first") {
   MemoryAccount Account(Limits);
