Drop no holder for one that cannot be served by it

What a waiting holder could not be given, since its group's memory was pinned, was added to what the holders behind it needed, and more of the stalled holders were dropped than that took. The new case of memory_account_test failed before.

--- a/src/http/memory_account.cpp
+++ b/src/http/memory_account.cpp
@@ -149,8 +149,10 @@
     Needed += std::min(Missing, Holder->WaitsFor_ - Holder->Bytes_);
     while (Freed < Needed) {
       MemoryHolder *Victim = longestStalled(*Holder, Now);
-      if (!Victim)
+      if (!Victim) {
+        Needed = Freed; // nothing more can be freed for it
         break;
+      }
       Victim->Dropped_ = true;
       ++DroppedTotal_;
       Freed += Victim->Bytes_;
--- a/src/http/memory_account_test.cpp
+++ b/src/http/memory_account_test.cpp
@@ -88,6 +88,27 @@
   CHECK(Second.Grants == 1);
 }
 
+// Guards against holders that are dropped for one that gets nothing by it.
+TEST_CASE("no more is dropped than what can be granted needs") {
+  MemoryAccount Account(Limits);
+  Peer Served(Account);
+  Peer Waiting(Account);
+  Peer Oldest(Account);
+  Peer Newer(Account);
+  Peer Late(Account);
+  Served.Held->setGroup("w1");
+  Waiting.Held->setGroup("w1");
+  CHECK(Served.Held->tryHold(500, Start));
+  Served.Held->setPinned(true);
+  CHECK(Oldest.Held->tryHold(125, Start));
+  CHECK(Newer.Held->tryHold(125, Start + Duration(1)));
+  Waiting.wait(100, Start);
+  Late.wait(100, Start);
+  Account.reclaim(Later + Duration(1));
+  CHECK(Oldest.Drops == 1);
+  CHECK(Newer.Drops == 0);
+}
+
 // Guards against peers that stop short of their end and keep what they hold.
 TEST_CASE("who got nothing for the longest time is dropped first") {
   MemoryAccount Account(Limits);
