Take an early answer as whole if its request was taken by its end

An answer without a length failed when it had begun before the whole request was sent, also if the endpoint read on and ended its connection in order, as it may: calls that are not retryable were answered 502 after they had run. What was sent is now looked at when the answer ends. It also was that of another attempt after a suspended one was resumed. The new case of gateway_odd_answers_test failed before (502) and passes; the case of a part that ends early still passes.

--- a/src/gateway/exchange_answer.cpp
+++ b/src/gateway/exchange_answer.cpp
@@ -102,10 +102,14 @@
     Count = Piece.size() - Parser.get().body().size;
     const bool EndsWithConnection =
         Parser.is_done() && framingOf(Parser) == Framing::Close;
-    if (EndsWithConnection &&
-        (AnswersEarly_ || http::isReset(Connection.Socket))) {
-      FailureCause_ = AnswersEarly_ ? "an early answer without a length"
-                                    : "the connection was reset";
+    // An endpoint that ends its connection before it has the whole request may
+    // have failed: the end does not show that its answer is whole.
+    const bool EndsEarly =
+        EndsWithConnection && (!Sending_->Done || Sending_->Failure ||
+                               http::hasUnsentBytes(Connection.Socket));
+    if (EndsEarly || (EndsWithConnection && http::isReset(Connection.Socket))) {
+      FailureCause_ = EndsEarly ? "an early end of an answer without a length"
+                                : "the connection was reset";
       Piece.clear();
       co_return false;
     }
--- a/src/gateway/exchange_internal.h
+++ b/src/gateway/exchange_internal.h
@@ -278,10 +278,8 @@
   /// How the endpoint framed its answer to the last attempt; empty before the
   /// head.
   std::optional<Framing> EndpointFraming_;
-  /// The answer began before the whole request was sent. Without a length or
-  /// chunks its end does not show that it is whole: a failing endpoint ends its
-  /// connections, too.
-  bool AnswersEarly_ = false;
+  /// Of the request whose answer is being read.
+  std::shared_ptr<const PendingWrite> Sending_;
   EndpointConnection *ActiveConnection_ = nullptr;
   std::unique_ptr<SuspendedAttempt> Suspended_;
   bool SuspendedSendsAgain_ = false;
--- a/src/gateway/exchange_receive.cpp
+++ b/src/gateway/exchange_receive.cpp
@@ -131,6 +131,7 @@
   const EndpointRef Endpoint = Chosen.Endpoints.front();
   const bool IsStream = Route_->Kind == CallKind::Stream;
   setEndpointDeadline(firstByteDeadline(Chosen));
+  Sending_ = Sending;
   EndpointHead Answer;
   const std::optional<AttemptResult> Ended =
       co_await readAnswerHead(Endpoint, *Connection, Parser, Answer);
@@ -141,7 +142,6 @@
   if (Ended)
     co_return *Ended;
   EndpointFraming_ = framingOf(*Parser);
-  AnswersEarly_ = !Sending->Done || http::hasUnsentBytes(Connection->Socket);
   const int Status = static_cast<int>(Parser->get().result_int());
   recordEndpointState(Endpoint, Answer);
   if (provesNotRun(Status, Answer)) {
--- a/src/gateway/exchange_suspended.cpp
+++ b/src/gateway/exchange_suspended.cpp
@@ -105,6 +105,7 @@
   });
   AttemptResult Result = AttemptResult::Failed;
   if (IsHeadRead) {
+    Sending_ = Attempt->Sending;
     Result = co_await relayStream(*Attempt->Connection, *Attempt->Parser);
     endRelay(Attempt->Chosen, Result, std::move(Attempt->Connection),
              std::move(Attempt->Parser), Attempt->Sending);
--- a/tests/process/gateway_odd_answers_test.py
+++ b/tests/process/gateway_odd_answers_test.py
@@ -52,22 +52,37 @@
                 fields = dict(line.lower().split(": ", 1) for line in data.decode().split("\r\n")[1:] if ": " in line)
                 connection.sendall(self.head(fields, "200") + b"a part")
                 time.sleep(0.2)
-                end(connection)
+                end(connection, int(fields.get("content-length", 0)))
 
         threading.Thread(target=serve, daemon=True).start()
         return listener.getsockname()[1]
 
-    # Guards against a part of an answer that counts as whole, since its sender ended while it was still being sent
-    # the request.
-    def test_an_early_answer_without_a_length_is_not_whole(self):
+    def use_early_peer(self, end):
         current = make_config(4)
         current["limits"]["bodyBytes"] = 4 << 20
         self.store.put("op", "config", current)
-        port = self.early_peer(lambda connection: connection.shutdown(socket.SHUT_WR))
+        port = self.early_peer(end)
         for each in self.app:
             self.store.put("servers", each.identity, {**each.entry("app"), "address": f"127.0.0.1:{port}"})
         self.wait_for(lambda: b"version=4" in self.gateway.log_path.read_bytes()
                       and self.call("/post/x", "POST", b"x")[2] == b"a part", "the replica is used")
+
+    # Guards against a whole answer that is thrown away since it began before its request was read: replicas may read
+    # on after it.
+    def test_an_early_answer_that_ends_after_the_request_is_whole(self):
+        def read_on(connection, left):
+            while left > 0:
+                left -= len(connection.recv(1 << 16))
+            connection.shutdown(socket.SHUT_WR)
+
+        self.use_early_peer(read_on)
+        for size in (900_000, 3_900_000):
+            self.assertEqual(self.call("/post/x", "POST", b"x" * size)[::2], (200, b"a part"), size)
+
+    # Guards against a part of an answer that counts as whole, since its sender ended while it was still being sent
+    # the request.
+    def test_an_early_answer_without_a_length_is_not_whole(self):
+        self.use_early_peer(lambda connection, _: connection.shutdown(socket.SHUT_WR))
         for size in (900_000, 3_900_000):
             status, _, body = self.call("/post/x", "POST", b"x" * size)
             self.assertNotEqual((status, body), (200, b"a part"), size)
