Keep the idle connections to endpoints that active callers need

When callers took too many descriptors, an idle connection to an endpoint was closed for each. The account keeps one descriptor per active caller for these anyway, so that made no room and each request opened a new connection. Only those beyond the number of active callers are closed now.

--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -48,11 +48,13 @@
 struct ServerState {
   explicit ServerState(GatewayState &Gateway) : Gateway(Gateway) {}
 
-  std::size_t excess() const {
-    return excessConnections(
-        {Idle.size(), Open.size() - Idle.size(), Gateway.Pool.openTotal()},
-        static_cast<std::size_t>(Gateway.Settings.Limits.FileDescriptors));
+  DescriptorUse use() const {
+    return {Idle.size(), Open.size() - Idle.size(), Gateway.Pool.openTotal()};
   }
+  std::size_t limit() const {
+    return static_cast<std::size_t>(Gateway.Settings.Limits.FileDescriptors);
+  }
+  std::size_t excess() const { return excessConnections(use(), limit()); }
   /// Closes the connections that got nowhere for the longest time, so that the
   /// descriptors suffice. Returns whether they do or will.
   bool closeExcess();
@@ -355,7 +357,7 @@
 bool ServerState::closeExcess() {
   std::size_t Excess = excess();
   if (Excess > 0) {
-    Gateway.Pool.closeAnyIdle(Excess);
+    Gateway.Pool.closeAnyIdle(spareEndpointConnections(use(), limit()));
     Excess = excess();
   }
   if (Excess == 0)
--- a/src/gateway/descriptor_limit.cpp
+++ b/src/gateway/descriptor_limit.cpp
@@ -14,4 +14,12 @@
   return Needed > Available ? Needed - Available : 0;
 }
 
+std::size_t spareEndpointConnections(const DescriptorUse &Use,
+                                     std::size_t FileDescriptors) {
+  const std::size_t Beyond =
+      Use.EndpointConnections -
+      std::min(Use.EndpointConnections, Use.ActiveCallers);
+  return std::min(Beyond, excessConnections(Use, FileDescriptors));
+}
+
 } // namespace cassiashed::gateway
