Bound a stated load by the registered slots

The bound used the slots that the endpoint itself stated, so a statement of 1000000,1000000,1000000 raised the mean and the least share so far that all other endpoints looked alike, and that endpoints without a statement stayed empty until it aged. The registered slots now bound it.

--- a/src/balancing/even_load_test.cpp
+++ b/src/balancing/even_load_test.cpp
@@ -228,6 +228,21 @@
   }));
 }
 
+// Guards against a statement far above what an endpoint can hold, which hides
+// the differences between all others and keeps new ones empty.
+TEST_CASE("an absurd statement changes only the share of its endpoint") {
+  std::vector<LoadedEndpoint> Endpoints(4);
+  for (LoadedEndpoint &One : Endpoints)
+    One.Slots = 4;
+  Endpoints[0].Unknown = {2e6, 0, true};
+  Endpoints[1].Unknown = {30, 0, true};
+  Endpoints[2].Unknown = {0, 0, true};
+  Endpoints[3].Unknown = {0, 0, true};
+  std::mt19937_64 Random(1);
+  for (int Index = 0; Index < 100; ++Index)
+    CHECK(chooseEvenly(Endpoints, Random) >= 2);
+}
+
 TEST_CASE("stated loads age, and older or invalid ones change nothing") {
   const TimePoint Now = StaleReportSimulation::Start;
   LoadEstimate Stated;
--- a/src/balancing/load_estimate.cpp
+++ b/src/balancing/load_estimate.cpp
@@ -11,9 +11,9 @@
 /// Least age of a stated load, in ms: requests of others that were on their way
 /// when the answer was sent.
 constexpr double TransitMs = 3;
-/// Most requests per stated slot that are believed. Endpoints queue a few per
-/// slot; a larger value is a fault.
-constexpr int MaxStatedPerSlot = 8;
+/// Most unknown requests per registered slot that are believed. Endpoints queue
+/// a few per slot; a larger value is a fault.
+constexpr double MaxUnknownPerSlot = 8;
 /// Share of the mean unknown load that an endpoint has at least, whatever it
 /// states: one that always states 0 then gets a bounded share of the requests.
 constexpr double LeastShareOfMean = 0.5;
@@ -35,9 +35,7 @@
   Record &Entry = Records_[Number];
   if (StatedAt <= Entry.StatedAt || Stated.Slots <= 0)
     return;
-  const double Requests =
-      std::min(static_cast<double>(Stated.Running) + Stated.Waiting,
-               static_cast<double>(Stated.Slots) * MaxStatedPerSlot);
+  const double Requests = static_cast<double>(Stated.Running) + Stated.Waiting;
   Entry.StatedAt = StatedAt;
   Entry.Unknown = std::max(0.0, Requests - KnownRequests);
 }
@@ -113,6 +111,18 @@
   return Result;
 }
 
+/// The unknown requests of an endpoint as far as its slots make them plausible.
+UnknownRequests boundUnknown(const LoadedEndpoint &Endpoint) {
+  UnknownRequests Result = Endpoint.Unknown;
+  const double Sum = Result.Kept + Result.Replaced;
+  const double Most = MaxUnknownPerSlot * Endpoint.Slots;
+  if (Sum > Most) {
+    Result.Kept *= Most / Sum;
+    Result.Replaced *= Most / Sum;
+  }
+  return Result;
+}
+
 } // namespace
 
 std::size_t chooseEvenly(const std::vector<LoadedEndpoint> &Endpoints,
@@ -121,8 +131,9 @@
   double Unknown = 0;
   for (const LoadedEndpoint &Endpoint : Endpoints)
     if (Endpoint.Unknown.IsStated) {
+      const UnknownRequests Stated = boundUnknown(Endpoint);
       StatedSlots += Endpoint.Slots;
-      Unknown += Endpoint.Unknown.Kept + Endpoint.Unknown.Replaced;
+      Unknown += Stated.Kept + Stated.Replaced;
     }
   const double MeanPerSlot = StatedSlots > 0 ? Unknown / StatedSlots : 0;
   struct Fill {
@@ -134,11 +145,12 @@
   double Poured = 1; // the request to place, and those that others placed
   for (std::size_t Index = 0; Index < Endpoints.size(); ++Index) {
     const LoadedEndpoint &Endpoint = Endpoints[Index];
-    double Kept = Endpoint.Unknown.Kept;
-    if (Endpoint.Unknown.IsStated) {
-      Poured += Endpoint.Unknown.Replaced;
+    const UnknownRequests Stated = boundUnknown(Endpoint);
+    double Kept = Stated.Kept;
+    if (Stated.IsStated) {
+      Poured += Stated.Replaced;
       Kept = std::max(Kept, LeastShareOfMean * MeanPerSlot * Endpoint.Slots -
-                                Endpoint.Unknown.Replaced);
+                                Stated.Replaced);
     } else {
       // A new endpoint, or one that has not answered for long, counts as
       // average: it must not attract the requests of all nodes.
