--- a/include/cassiashed/balancing/load_estimate.h
+++ b/include/cassiashed/balancing/load_estimate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cassiashed/balancing/endpoint_health.h"
 #include "cassiashed/base/clock.h"
 #include <cstdint>
 #include <random>
@@ -54,8 +55,10 @@
                     int KnownRequests, TimePoint StatedAt);
   /// Records that the endpoint was full.
   void recordRejection(std::uint32_t Number, TimePoint Now);
-  /// Records how long an answered request was at the endpoint.
-  void recordDuration(std::uint32_t Number, Duration Taken);
+  /// Records how long a request was at the endpoint. Only answers without an
+  /// error of the endpoint count: quick failures do not make it fast.
+  void recordDuration(std::uint32_t Number, Duration Taken,
+                      EndpointOutcome Outcome);
   void remove(std::uint32_t Number) { Records_.erase(Number); }
 
   UnknownRequests unknownRequests(std::uint32_t Number, TimePoint Now) const;
--- a/src/balancing/even_load_test.cpp
+++ b/src/balancing/even_load_test.cpp
@@ -51,7 +51,8 @@
              Duration Taken, TimePoint Now) override {
     Nodes_[Chooser].Load.finish(Id, Now);
     if (Taken > Duration(0))
-      Nodes_[Chooser].Stated.recordDuration(number(Endpoint), Taken);
+      Nodes_[Chooser].Stated.recordDuration(number(Endpoint), Taken,
+                                            EndpointOutcome::Answered);
   }
   void rejected(std::size_t Chooser, std::size_t Endpoint,
                 TimePoint Now) override {
@@ -243,6 +244,15 @@
     CHECK(chooseEvenly(Endpoints, Random) >= 2);
 }
 
+// Guards against an endpoint that draws requests by failing them quickly.
+TEST_CASE("errors of an endpoint do not count as its speed") {
+  LoadEstimate Stated;
+  Stated.recordDuration(1, Duration(100), EndpointOutcome::Answered);
+  Stated.recordDuration(1, Duration(1), EndpointOutcome::ServerError);
+  CHECK(Stated.duration(1).MeanMs == 100);
+  CHECK(Stated.duration(1).Answers == 1);
+}
+
 TEST_CASE("stated loads age, and older or invalid ones change nothing") {
   const TimePoint Now = StaleReportSimulation::Start;
   LoadEstimate Stated;
--- a/src/balancing/load_estimate.cpp
+++ b/src/balancing/load_estimate.cpp
@@ -44,7 +44,10 @@
   Records_[Number].HeldUntil = Now + Options_.RejectionHold;
 }
 
-void LoadEstimate::recordDuration(std::uint32_t Number, Duration Taken) {
+void LoadEstimate::recordDuration(std::uint32_t Number, Duration Taken,
+                                  EndpointOutcome Outcome) {
+  if (Outcome != EndpointOutcome::Answered)
+    return;
   MeasuredDuration &Mean = Records_[Number].Taken;
   const auto TakenMs =
       static_cast<double>(std::max(Taken, Duration(1)).count());
--- a/src/gateway/exchange_receive.cpp
+++ b/src/gateway/exchange_receive.cpp
@@ -213,13 +213,14 @@
                              const PendingWrite &Sending) {
   if (Result == AttemptResult::Answered ||
       Result == AttemptResult::FailedAnswer) {
-    const bool IsServerError = Parser.get().result_int() >= 500;
-    State_.recordOutcome(*Endpoint, IsServerError ? EndpointOutcome::ServerError
-                                                  : EndpointOutcome::Answered);
+    const EndpointOutcome Outcome = Parser.get().result_int() >= 500
+                                        ? EndpointOutcome::ServerError
+                                        : EndpointOutcome::Answered;
+    State_.recordOutcome(*Endpoint, Outcome);
     State_.Crashes.recordCompletion(ContentHash_);
     State_.Stated.recordDuration(
         Endpoint->Number,
-        std::chrono::duration_cast<Duration>(State_.now() - SentAt_));
+        std::chrono::duration_cast<Duration>(State_.now() - SentAt_), Outcome);
     if (Sending.Done && !Sending.Failure && Parser.is_done() &&
         Parser.keep_alive() && CancelReason_ == CancelReason::None) {
       const auto KeepAlive = Parser.get()[bhttp::field::keep_alive];
