Keep stated loads of plain services only

Engines are placed by the known requests, yet the loads that they state went into the messages between nodes and took the room of those that are used: a message holds 8, in the order of their names.

--- a/src/gateway/exchange_receive.cpp
+++ b/src/gateway/exchange_receive.cpp
@@ -61,7 +61,8 @@
     State_.Directory.markCold(Endpoint, *Answer.ColdRemaining, Now);
   if (Answer.PausedFor && Answer.PausedFor->count() > 0)
     State_.Directory.pause(Endpoint, *Answer.PausedFor, Now);
-  if (Answer.Load)
+  // Engines are placed by the known requests only.
+  if (Answer.Load && !Service_->Engine)
     State_.recordStatedLoad(*Endpoint, *Answer.Load);
   if (!Answer.IsLeaving || Endpoint->IsLeaving)
     return;
--- a/tests/process/gateway_stated_load_test.py
+++ b/tests/process/gateway_stated_load_test.py
@@ -28,6 +28,14 @@
             self.assertEqual(self.call("/get/x")[0], 200)
         self.assertGreaterEqual(self.stating(self.gateway), 1)
 
+    # Guards against messages that carry loads which no node uses: engines are placed by the known requests.
+    def test_loads_of_engines_are_not_kept(self):
+        for each in self.llm:
+            each.extra_fields = ["Server-Load: 1,0,16"]
+        for _ in range(4):
+            self.assertEqual(self.call("/stream/x", method="POST", body=b"{}")[0], 200)
+        self.assertEqual(self.stating(self.gateway), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
