Send the stated loads of all endpoints in turn

A message holds 8 stated loads, taken in the order of the endpoints' names, so that endpoints late in the order were never reported by a node that hears more than 8 between two messages. The queue is now a class of its own that goes on after the last endpoint sent.

--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -4,11 +4,11 @@
 #include "cassiashed/base/hash.h"
 #include "gateway/peer_table.h"
 #include "gateway/row_broadcast.h"
+#include "gateway/stated_load_queue.h"
 #include "http/asio.h"
 #include <algorithm>
 #include <array>
 #include <deque>
-#include <map>
 #include <random>
 #include <set>
 
@@ -205,7 +205,7 @@
   }
   void announceStatedLoad(const std::string &EndpointId,
                           const balancing::StatedLoad &Stated) override {
-    PendingLoads_[EndpointId] = {Stated, now()};
+    PendingLoads_.put(EndpointId, Stated, now());
   }
   void announceCrash(const CrashReport &Report) override {
     NodeMessage Message = makeMessage();
@@ -534,7 +534,7 @@
     Message.Finished.swap(PendingReports_.Finished);
     Message.UnresponsiveEndpoints.swap(PendingReports_.UnresponsiveEndpoints);
     Message.Outcomes.swap(PendingReports_.Outcomes);
-    takePendingLoads(Message);
+    Message.StatedLoads = PendingLoads_.take(MaxStatedLoadsPerMessage, now());
     if (!hasRoles()) {
       sendToLive(Message);
       return;
@@ -552,20 +552,6 @@
         send(Bytes, Target->UdpAddress);
   }
 
-  /// Moves stated loads into a message, up to the size of a datagram.
-  void takePendingLoads(NodeMessage &Message) {
-    const TimePoint Now = now();
-    while (!PendingLoads_.empty() &&
-           Message.StatedLoads.size() < MaxStatedLoadsPerMessage) {
-      const auto First = PendingLoads_.begin();
-      const auto &[Stated, StatedAt] = First->second;
-      Message.StatedLoads.push_back(
-          {First->first, Stated.Running, Stated.Waiting, Stated.Slots,
-           std::chrono::duration_cast<Duration>(Now - StatedAt).count()});
-      PendingLoads_.erase(First);
-    }
-  }
-
   void sendTo(const std::string &Host, const NodeMessage &Message) {
     if (const Peer *Node = Peers_.find(Host))
       send(packMessage(Message), Node->UdpAddress);
@@ -643,9 +629,7 @@
   std::uint64_t LastEndpointChange_ = 0;
   UnsentCounters Unsent_;
   NodeMessage PendingReports_; ///< reports about requests, batched
-  /// Newest stated load of each endpoint, and when it was received.
-  std::map<std::string, std::pair<balancing::StatedLoad, TimePoint>>
-      PendingLoads_;
+  StatedLoadQueue PendingLoads_;
   std::deque<std::uint64_t> FreshnessQueries_; ///< time stamps, newest last
   std::minstd_rand Random_{std::random_device{}()};
 };
