Let the lease lapse at a holder that is no candidate any more

A holder that dropped out of the best-ranked nodes, because larger machines joined, went on renewing. Nodes tell counts and load to the best-ranked nodes only, so it reported too little usage and ordered fewer replicas than the load takes. A holder that was told to stop renewed until its exit as well. Neither renews now; both act until the lease lapses, and the successor waits the full term, so fences and the order of holders are as before. The new case of lease_test failed before and passes.

--- a/include/cassiashed/duties/lease.h
+++ b/include/cassiashed/duties/lease.h
@@ -65,9 +65,9 @@
 
   /// The call to the store that is due.
   enum class Step { None, Read, Write };
-  /// `MayAcquire`: this node is a candidate. `ExtraWait`: by which this node
-  /// lets better-ranked candidates go first.
-  Step nextStep(BootTime Now, bool MayAcquire, Duration ExtraWait);
+  /// `IsCandidate`: this node may take the lease, or renew it. `ExtraWait`: by
+  /// which this node lets better-ranked candidates go first.
+  Step nextStep(BootTime Now, bool IsCandidate, Duration ExtraWait);
 
   /// The row to write and the version that it must replace.
   LeaseRow beginWrite(BootTime Now);
--- a/src/duties/lease.cpp
+++ b/src/duties/lease.cpp
@@ -44,10 +44,15 @@
   loseLease();
 }
 
-Lease::Step Lease::nextStep(BootTime Now, bool MayAcquire, Duration ExtraWait) {
-  if (!Holds_ && !MayAcquire)
+Lease::Step Lease::nextStep(BootTime Now, bool IsCandidate,
+                            Duration ExtraWait) {
+  // A holder that is no candidate any more lets the lease lapse: it stops, or
+  // others do not tell it counts and load any more.
+  if (!IsCandidate) {
     NeedsRead_ = true; // what is known gets old
-  if (CallOpen_ || Now < RefusedUntil_ || (!Holds_ && !MayAcquire))
+    return Step::None;
+  }
+  if (CallOpen_ || Now < RefusedUntil_)
     return Step::None;
   if (NeedsRead_ || !KnowsRow_)
     return Step::Read;
--- a/src/duties/lease_test.cpp
+++ b/src/duties/lease_test.cpp
@@ -157,6 +157,21 @@
   CHECK(Candidate.expectedVersion() < 1000);
 }
 
+// Guards against a holder that keeps the lease while it stops, or after
+// better-ranked nodes joined and nobody tells it counts and load any more.
+TEST_CASE("a holder that is no candidate any more lets the lease lapse") {
+  FakeStore Store;
+  Lease Node(leaseTimesFor(Bound), makeSelf("a", 1));
+  const Duration Sent = acquire(Node, Store, Duration(0));
+  for (Duration Now = Sent; Now < Sent + Duration(6000); Now += Duration(100))
+    CHECK(Node.nextStep(at(Now), false, Duration(0)) == Lease::Step::None);
+  CHECK(Node.mayAct(at(Sent + Duration(2900))));
+  CHECK_FALSE(Node.mayAct(at(Sent + Duration(3000))));
+  // A candidate again: the row may have changed since.
+  CHECK(Node.nextStep(at(Sent + Duration(6000)), true, Duration(0)) ==
+        Lease::Step::Read);
+}
+
 // Guards against a lower fence, two holders at once, and holders that act in
 // the order A, B, A within the bound, in any order of frozen processes, slow,
 // lost and late answers, restarts, and a store that comes back older.
