--- a/src/duties/scaling.cpp
+++ b/src/duties/scaling.cpp
@@ -11,9 +11,7 @@
 /// single long prompts.
 constexpr Duration MinRateWindow{3000};
 /// Share of an engine's time that lasting work may take. Above, requests queue
-/// behind long prompts and miss the objective of their first token. On 60
-/// engines a burst of long prompts that took about 0.8 of their time for 3 s
-/// left 95 % of the requests within their objectives.
+/// behind long prompts; the headroom keeps first tokens in their objective.
 constexpr double TargetUse = 0.8;
 /// Share above which engines fall behind within seconds: replicas are ordered
 /// before the rate has lasted for the boot of one.
