Forget old work at nodes that never order replicas

Work was dropped only when orders were decided, which the holder of the lease alone does. Each other placer kept two intervals a second for ever. It is dropped when work is recorded, too. The new case of scaling_test failed before (1,200 intervals after 600 s) and passes.

--- a/include/cassiashed/duties/scaling.h
+++ b/include/cassiashed/duties/scaling.h
@@ -39,7 +39,7 @@
 class ReplicaPlanner {
 public:
   /// Records a request that was sent to the service, by its engine time.
-  void recordWork(double EngineMs, TimePoint Now);
+  void recordWork(double EngineMs, const ScalingLimits &Limits, TimePoint Now);
 
   /// Orders that are due. Without enough knowledge of the load there are none:
   /// the last orders hold.
@@ -54,6 +54,8 @@
   /// Replicas that the recent peak of the work takes, as a fraction; nothing
   /// until the load was seen for long enough.
   std::optional<double> wanted(const ScalingLimits &Limits, TimePoint Now);
+  /// Intervals of work that are remembered.
+  std::size_t keptBins() const { return Bins_.size(); }
 
 private:
   struct Bin {
@@ -68,6 +70,8 @@
   };
   static Duration holdTime(const ScalingLimits &Limits);
   static Duration rateWindow(const ScalingLimits &Limits);
+  /// Forgets work on which no order depends any more.
+  void discardOld(const ScalingLimits &Limits, TimePoint Now);
   /// Engines that the work of the busiest known interval of this length took.
   double peakUse(Duration Window) const;
 
--- a/src/duties/scaling.cpp
+++ b/src/duties/scaling.cpp
@@ -42,7 +42,10 @@
   return engine::prefillMs(Spec, 0, PromptTokens) + OutputTokens * StepMs;
 }
 
-void ReplicaPlanner::recordWork(double EngineMs, TimePoint Now) {
+void ReplicaPlanner::recordWork(double EngineMs, const ScalingLimits &Limits,
+                                TimePoint Now) {
+  // Here as well as before orders: most nodes never order.
+  discardOld(Limits, Now);
   if (!FirstWorkAt_)
     FirstWorkAt_ = Now;
   if (Bins_.empty() || Now - Bins_.back().Start >= BinLength)
@@ -61,6 +64,12 @@
   return std::max(MinRateWindow, Limits.Boot);
 }
 
+void ReplicaPlanner::discardOld(const ScalingLimits &Limits, TimePoint Now) {
+  while (!Bins_.empty() &&
+         Now - Bins_.front().Start > holdTime(Limits) + rateWindow(Limits))
+    Bins_.pop_front();
+}
+
 double ReplicaPlanner::peakUse(Duration Window) const {
   double Peak = 0;
   double Sum = 0;
@@ -79,9 +88,7 @@
 std::optional<double> ReplicaPlanner::wanted(const ScalingLimits &Limits,
                                              TimePoint Now) {
   const Duration Window = rateWindow(Limits);
-  while (!Bins_.empty() &&
-         Now - Bins_.front().Start > holdTime(Limits) + Window)
-    Bins_.pop_front();
+  discardOld(Limits, Now);
   if (!FirstWorkAt_ || Now - *FirstWorkAt_ < MinRateWindow)
     return std::nullopt;
   return std::max(peakUse(Window) / TargetUse,
--- a/src/duties/scaling_test.cpp
+++ b/src/duties/scaling_test.cpp
@@ -15,7 +15,7 @@
 void addWork(ReplicaPlanner &Planner, double Replicas, Duration From,
              Duration To) {
   for (Duration Now = From; Now < To; Now += Duration(100))
-    Planner.recordWork(Replicas * 0.8 * 100, Start + Now);
+    Planner.recordWork(Replicas * 0.8 * 100, Limits, Start + Now);
 }
 
 std::vector<ZoneReplicas> zones(int A, int B, bool HasB = true) {
@@ -118,6 +118,13 @@
   CHECK(Due[0].Count == 26);
 }
 
+// Guards against memory that grows at the nodes that never hold the lease.
+TEST_CASE("work that no order depends on any more is forgotten") {
+  ReplicaPlanner Planner;
+  addWork(Planner, 8, Duration(0), Duration(600000));
+  CHECK(Planner.keptBins() <= 38); // 10 s of hold and 8 s of rate
+}
+
 // Guards against orders outside the operator's limits.
 TEST_CASE("orders stay within the limits of a zone") {
   CHECK(rc::check([] {
--- a/src/gateway/duty_runner.cpp
+++ b/src/gateway/duty_runner.cpp
@@ -26,6 +26,10 @@
          1;
 }
 
+duties::ScalingLimits limitsOf(const catalog::ServiceScaling &Scaling) {
+  return {Scaling.Minimum, Scaling.Maximum, Scaling.Boot};
+}
+
 } // namespace
 
 DutyRunner::DutyRunner(GatewayState &State, StoreClient &Store, DutyApi &Api,
@@ -66,7 +70,7 @@
     Plans_[Service->Name].Planner.recordWork(
         duties::engineTimeMs(*Service->Engine, Work.Request.PromptTokens,
                              Work.Request.OutputTokens),
-        State_.now());
+        limitsOf(*Service->Scaling), State_.now());
 }
 
 std::optional<DutyMessage> DutyRunner::ownMessage(bool ToCandidates) const {
@@ -336,9 +340,7 @@
 
 http::Task<void> DutyRunner::orderForService(const catalog::Service &Service) {
   ServicePlan &Plan = Plans_[Service.Name];
-  const duties::ScalingLimits Limits{Service.Scaling->Minimum,
-                                     Service.Scaling->Maximum,
-                                     Service.Scaling->Boot};
+  const duties::ScalingLimits Limits = limitsOf(*Service.Scaling);
   const std::vector<duties::ZoneReplicas> Zones =
       zonesOf(Service.Name, Plan.Zones);
   const std::vector<duties::ReplicaOrder> Due =
