Order fewer replicas only with the load of the whole fleet in view

A holder that was cut off from a zone, had been suspended, or was a candidate but no placer saw a part of the work, and after a hold time ordered the replicas away that the rest needs. Such a gap now holds back orders of fewer replicas for a hold time; orders of more are as before. The new case of scaling_test failed before and passes.

--- a/include/cassiashed/duties/scaling.h
+++ b/include/cassiashed/duties/scaling.h
@@ -48,6 +48,9 @@
                                       TimePoint Now);
   /// The order of `Zone` was sent; `Accepted`: the platform confirmed it.
   void recordOrder(const ReplicaOrder &Order, bool Accepted, TimePoint Now);
+  /// Part of the work up to now was not seen: no orders of fewer replicas until
+  /// a hold time has passed.
+  void recordGap(TimePoint Now) { GapAt_ = Now; }
   /// Forgets the orders, not the load. To be called when this node takes over.
   void beginTerm();
 
@@ -77,6 +80,7 @@
 
   std::deque<Bin> Bins_;
   std::optional<TimePoint> FirstWorkAt_;
+  TimePoint GapAt_; ///< end of the last gap in what was seen
   std::map<std::string, ZoneOrderState> Orders_;
 };
 
--- a/src/duties/scaling.cpp
+++ b/src/duties/scaling.cpp
@@ -108,7 +108,8 @@
   const int Needed = static_cast<int>(
       std::min(std::ceil(*Wanted / static_cast<double>(InService)), MaxNeeded));
   const int PerZone = std::clamp(Needed, Limits.Minimum, Limits.Maximum);
-  const bool SeenWholeHold = Now - *FirstWorkAt_ >= holdTime(Limits);
+  const bool SeenWholeHold =
+      Now - std::max(*FirstWorkAt_, GapAt_) >= holdTime(Limits);
   for (const ZoneReplicas &State : Zones) {
     // The replicas of a zone out of service are needed when it comes back.
     if (!State.InService)
--- a/src/duties/scaling_test.cpp
+++ b/src/duties/scaling_test.cpp
@@ -118,6 +118,22 @@
   CHECK(Due[0].Count == 26);
 }
 
+// Guards against orders of fewer replicas by a holder that saw part of the work
+// only: it was frozen, cut off from other nodes, or no placer.
+TEST_CASE("fewer replicas are not ordered within a hold time of a gap") {
+  ReplicaPlanner Planner;
+  addWork(Planner, 16, Duration(0), Duration(20000));
+  addWork(Planner, 4, Duration(20000), Duration(60000));
+  const auto Due = [&Planner](Duration Now) {
+    return Planner.dueOrders(zones(8, 8), Limits, Start + Now).size();
+  };
+  CHECK(Due(Duration(45000)) == 2);
+  Planner.recordGap(Start + Duration(45000));
+  CHECK(Due(Duration(45000)) == 0);
+  CHECK(Due(Duration(54900)) == 0);
+  CHECK(Due(Duration(55000)) == 2);
+}
+
 // Guards against memory that grows at the nodes that never hold the lease.
 TEST_CASE("work that no order depends on any more is forgotten") {
   ReplicaPlanner Planner;
--- a/src/gateway/duty_runner.cpp
+++ b/src/gateway/duty_runner.cpp
@@ -15,6 +15,9 @@
 /// An older copy of the endpoints' table does not show how many replicas there
 /// are.
 constexpr Duration MaxTableAge{5000};
+/// Ticks are 100 ms apart; a process that missed this much was suspended, and
+/// messages about the load were lost.
+constexpr Duration MaxTickGap{1000};
 /// Counts are told once a second or more often, and twice in this time.
 constexpr Duration UsageSettle{2500};
 /// Counts in one message. Larger ones would not fit into the receive buffer.
@@ -130,6 +133,7 @@
 void DutyRunner::tick() {
   const BootTime Now = BootClock::now();
   Ledger_.discardOld(unixMs());
+  followLoad(Now);
   followLease(Now);
   logLeaseChange("the last renewal is too old");
   if (!Lease_.mayAct(Now))
@@ -145,6 +149,15 @@
   }
 }
 
+void DutyRunner::followLoad(BootTime Now) {
+  const bool WasSuspended = Now - LastTickAt_ > MaxTickGap;
+  LastTickAt_ = Now;
+  if (!WasSuspended && State_.Nodes->seesFleetLoad())
+    return;
+  for (auto &[Name, Plan] : Plans_)
+    Plan.Planner.recordGap(State_.now());
+}
+
 void DutyRunner::followLease(BootTime Now) {
   const std::optional<std::size_t> Rank = rank();
   const Duration ExtraWait =
--- a/src/gateway/duty_runner.h
+++ b/src/gateway/duty_runner.h
@@ -38,6 +38,8 @@
   };
 
   void recordWork(const balancing::Assignment &Work);
+  /// Notes whether this node sees the load of the whole fleet.
+  void followLoad(BootTime Now);
   std::int64_t unixMs() const;
   /// Position among the candidates for the lease, those that do not place
   /// requests last; nothing if not among them.
@@ -66,6 +68,7 @@
   duties::UsageReporter Reporter_;
   duties::WallClock WallClock_;
   std::map<std::string, ServicePlan> Plans_;
+  BootTime LastTickAt_;
   std::uint64_t LoggedFence_ = 0; ///< under which this node acts; 0: none
   bool IsReadingRecord_ = false;
   bool IsActing_ = false;
--- a/src/gateway/node_network.cpp
+++ b/src/gateway/node_network.cpp
@@ -159,6 +159,16 @@
   bool isDutyCandidate() const override {
     return Peers_.isAmongBestRanked(PlacerCandidateCount);
   }
+  bool seesFleetLoad() const override {
+    const TimePoint Now = now();
+    if (!Peers_.hearsNearlyAll(Now))
+      return false;
+    if (!hasRoles())
+      return true;
+    const std::vector<std::string> Placers = placers();
+    return std::find(Placers.begin(), Placers.end(), Options_.Internal.Host) !=
+           Placers.end();
+  }
   void announceDuties() override { sendDutiesToCandidates(); }
   const std::string &ownHost() const override { return Options_.Internal.Host; }
   void sendPlacementQuery(const std::string &Host,
--- a/src/gateway/node_network.h
+++ b/src/gateway/node_network.h
@@ -121,6 +121,8 @@
   /// Whether this node gets what candidates for the duties need, see
   /// `NodeNetworkEvents::OwnDuties`.
   virtual bool isDutyCandidate() const = 0;
+  /// Whether this node gets the reports of nearly all requests of the fleet.
+  virtual bool seesFleetLoad() const = 0;
   /// Sends what this node tells the candidates for the duties, ahead of the
   /// next heartbeat.
   virtual void announceDuties() = 0;
--- a/src/gateway/peer_table.cpp
+++ b/src/gateway/peer_table.cpp
@@ -8,6 +8,11 @@
 
 /// A node that has sent no message for this long gets heartbeats only.
 constexpr Duration LiveTimeout{5000};
+/// A node that was silent for this long is taken as stopped, not as cut off.
+constexpr Duration GoneAfter{60000};
+/// Of the nodes heard lately. The work of the rest is small against the
+/// headroom of the engines.
+constexpr double MinHeardShare = 0.9;
 /// A node with a role is replaced if it has sent no message for this long. Such
 /// nodes send a heartbeat every 400 ms. Replacement must take much less than
 /// the bounds on how fast all nodes learn of removed endpoints.
@@ -58,6 +63,17 @@
   return Node.HasSentMessage && Now - Node.LastMessageAt < LiveTimeout;
 }
 
+bool PeerTable::hearsNearlyAll(TimePoint Now) const {
+  const auto Known =
+      1 +
+      std::count_if(Peers_.begin(), Peers_.end(), [&](const auto &HostAndPeer) {
+        const Peer &Node = HostAndPeer.second;
+        return Node.HasSentMessage && Now - Node.LastMessageAt < GoneAfter;
+      });
+  return static_cast<double>(liveCount(Now)) >=
+         MinHeardShare * static_cast<double>(Known);
+}
+
 bool PeerTable::hasRoles() const { return possibleCount() >= MinNodesForRoles; }
 
 int PeerTable::betterRankedFollowers(TimePoint Now) const {
--- a/src/gateway/peer_table.h
+++ b/src/gateway/peer_table.h
@@ -50,6 +50,9 @@
   int possibleCount() const { return static_cast<int>(Peers_.size()) + 1; }
   int liveCount(TimePoint Now) const;
   static bool isLive(const Peer &Node, TimePoint Now);
+  /// Whether few of the nodes that were heard in the last minute are silent
+  /// now: more of them are rather cut off than stopped.
+  bool hearsNearlyAll(TimePoint Now) const;
 
   /// Whether some nodes have roles for all. In a small fleet none has: each
   /// node follows the operator's table and gets reports of all requests.
--- a/src/gateway/peer_table_test.cpp
+++ b/src/gateway/peer_table_test.cpp
@@ -49,6 +49,24 @@
         std::vector<std::string>{"10.0.9.9"});
 }
 
+// Guards against decisions by the load of a part of the fleet while links are
+// cut.
+TEST_CASE("nodes that fell silent lately are missed, nodes long gone are not") {
+  PeerTable Table = makeTable(3, 60, {0.12, 500});
+  CHECK(Table.hearsNearlyAll(Now));
+  const TimePoint Later = Now + std::chrono::seconds(30);
+  int Heard = 0;
+  for (auto &[Host, Node] : Table.all())
+    if (++Heard <= 42)
+      Node.LastMessageAt = Later;
+  CHECK_FALSE(Table.hearsNearlyAll(Later));
+  for (auto &[Host, Node] : Table.all())
+    if (Node.LastMessageAt == Later)
+      Node.LastMessageAt = Now + std::chrono::seconds(60);
+  CHECK(Table.hearsNearlyAll(Now + std::chrono::seconds(60)));
+  CHECK(makeTable(3, 60, {0.12, 500}).hearsNearlyAll(Now + milliseconds(4000)));
+}
+
 // A node that is cut off from all others must not use cold endpoints: their
 // rate limit is shared by a fixed number of nodes.
 TEST_CASE("the nodes with a share of cold endpoints do not depend on which "
