Drop calls to the platform's API that were given up

A call without an answer was closed after 1 s, but the kernel goes on sending its bytes over a link that loses packets for up to 3 s. So it could arrive 5.7 s after the renewal under which it was sent, while another node may act 4.5 s after it: a lower fence after a higher one. Such a connection is now reset.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -127,6 +127,8 @@
     Code Ignored;
     Stream_.socket().set_option(Tcp::no_delay(true), Ignored);
     detectDeadPeer(Stream_.socket(), DeadPeerLimit);
+    if (Options_.DropUnsent)
+      Stream_.socket().set_option(asio::socket_base::linger(true, 0), Ignored);
     if (Options_.ReceiveBufferBytes > 0)
       Stream_.socket().set_option(
           Tcp::socket::receive_buffer_size(Options_.ReceiveBufferBytes),
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -23,6 +23,9 @@
 struct ClientOptions {
   Duration ConnectTimeout = std::chrono::seconds(2);
   Duration WriteTimeout = std::chrono::seconds(30);
+  /// Bytes that the peer did not get are dropped when the connection ends, not
+  /// sent again by the kernel: the request must not arrive later.
+  bool DropUnsent = false;
   int ReceiveBufferBytes = 0; ///< kernel buffer; 0 leaves the default
 };
 
