Estimate the time of day from the boot clock

Offsets of other nodes' clocks were kept against the own clock, so a jump of it moved the estimate until new messages came, up to a second, and requests were counted in wrong windows. They are kept against the boot clock. The new case of usage_test failed before and passes; recordPeer needs the own clock no more.

--- a/include/cassiashed/duties/wall_clock.h
+++ b/include/cassiashed/duties/wall_clock.h
@@ -16,12 +16,12 @@
 public:
   /// Records what a message of another node states.
   void recordPeer(const std::string &Node, std::int64_t TheirUnixMs,
-                  std::int64_t OwnUnixMs, BootTime Now);
+                  BootTime Now);
   std::int64_t estimate(std::int64_t OwnUnixMs, BootTime Now) const;
 
 private:
   struct Offset {
-    std::int64_t Ms = 0;
+    std::int64_t Ms = 0; ///< from this host's boot clock, which never jumps
     BootTime HeardAt;
   };
   std::map<std::string, Offset> Offsets_;
--- a/src/duties/usage_test.cpp
+++ b/src/duties/usage_test.cpp
@@ -99,11 +99,21 @@
   WallClock Clock;
   const BootTime Now{std::chrono::hours(1)};
   CHECK(Clock.estimate(Start, Now) == Start);
-  Clock.recordPeer("b", Start + 4000, Start, Now);
+  Clock.recordPeer("b", Start + 4000, Now);
   CHECK(Clock.estimate(Start, Now) == Start); // no majority
-  Clock.recordPeer("c", Start + 4010, Start, Now);
+  Clock.recordPeer("c", Start + 4010, Now);
   CHECK(Clock.estimate(Start, Now) == Start + 4000); // the own one is off
-  Clock.recordPeer("b", Start - 2, Start, Now);
+  Clock.recordPeer("b", Start - 2, Now);
   CHECK(Clock.estimate(Start, Now) == Start);
   CHECK(Clock.estimate(Start, Now + Duration(4000)) == Start);
 }
+
+// Guards against counts in the wrong window until the next messages after the
+// own clock jumps.
+TEST_CASE("a jump of the own clock does not move the time of day") {
+  WallClock Clock;
+  const BootTime Now{std::chrono::hours(1)};
+  Clock.recordPeer("b", Start, Now);
+  Clock.recordPeer("c", Start + 10, Now);
+  CHECK(Clock.estimate(Start + 500 + 7000, Now + Duration(500)) == Start + 510);
+}
--- a/src/duties/wall_clock.cpp
+++ b/src/duties/wall_clock.cpp
@@ -10,18 +10,22 @@
 /// since.
 constexpr Duration MaxAge{3000};
 
+std::int64_t msOf(BootTime Time) {
+  return std::chrono::duration_cast<Duration>(Time.time_since_epoch()).count();
+}
+
 } // namespace
 
 void WallClock::recordPeer(const std::string &Node, std::int64_t TheirUnixMs,
-                           std::int64_t OwnUnixMs, BootTime Now) {
+                           BootTime Now) {
   std::erase_if(Offsets_, [Now](const auto &Entry) {
     return Now - Entry.second.HeardAt > MaxAge;
   });
-  Offsets_[Node] = {TheirUnixMs - OwnUnixMs, Now};
+  Offsets_[Node] = {TheirUnixMs - msOf(Now), Now};
 }
 
 std::int64_t WallClock::estimate(std::int64_t OwnUnixMs, BootTime Now) const {
-  std::vector<std::int64_t> All{0};
+  std::vector<std::int64_t> All{OwnUnixMs - msOf(Now)};
   for (const auto &[Node, Heard] : Offsets_)
     if (Now - Heard.HeardAt <= MaxAge)
       All.push_back(Heard.Ms);
@@ -30,7 +34,7 @@
     return OwnUnixMs;
   const auto Middle = All.begin() + static_cast<std::ptrdiff_t>(All.size() / 2);
   std::nth_element(All.begin(), Middle, All.end());
-  return OwnUnixMs + *Middle;
+  return msOf(Now) + *Middle;
 }
 
 } // namespace cassiashed::duties
--- a/src/gateway/duty_runner.cpp
+++ b/src/gateway/duty_runner.cpp
@@ -100,11 +100,8 @@
 void DutyRunner::handleMessage(const DutyMessage &Message,
                                const DutySender &From) {
   const BootTime Now = BootClock::now();
-  if (Message.UnixMs > 0) {
-    const auto Own = std::chrono::duration_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch());
-    WallClock_.recordPeer(From.Node, Message.UnixMs, Own.count(), Now);
-  }
+  if (Message.UnixMs > 0)
+    WallClock_.recordPeer(From.Node, Message.UnixMs, Now);
   const std::string Origin = From.Node + '/' + std::to_string(From.Incarnation);
   for (const UsageMessage &Counted : Message.Usage)
     Ledger_.merge(Origin, {Counted.Window, Counted.Counts}, unixMs());
