Tell other nodes the newest counts first

A message holds at most 400 counts and was filled from the oldest window. With more than 133 workspaces at a node it held no new window until the report of it was decided. The new case of usage_test failed with the old order and passes.

--- a/include/cassiashed/duties/usage.h
+++ b/include/cassiashed/duties/usage.h
@@ -35,8 +35,10 @@
   /// Merges what the process `Origin` counted, by maximum.
   void merge(const std::string &Origin, const UsageReport &Counted,
              std::int64_t UnixMs);
-  /// This process's counts of the kept windows, to be told to other nodes.
-  std::vector<UsageReport> own(std::int64_t UnixMs) const;
+  /// This process's counts of the kept windows, to be told to other nodes:
+  /// newest first, at most `MaxCounts` in all.
+  std::vector<UsageReport> own(std::int64_t UnixMs,
+                               std::size_t MaxCounts) const;
   /// Sum over all processes.
   UsageReport total(std::int64_t Window) const;
   void discardOld(std::int64_t UnixMs);
--- a/src/duties/usage.cpp
+++ b/src/duties/usage.cpp
@@ -31,14 +31,21 @@
   }
 }
 
-std::vector<UsageReport> UsageLedger::own(std::int64_t UnixMs) const {
+std::vector<UsageReport> UsageLedger::own(std::int64_t UnixMs,
+                                          std::size_t MaxCounts) const {
   std::vector<UsageReport> Result;
   const std::int64_t Oldest =
       windowAt(UnixMs) - static_cast<std::int64_t>(Kept_);
-  for (const auto &[Window, Counted] : Windows_) {
-    const auto Found = Counted.find("");
-    if (Window >= Oldest && Found != Counted.end())
-      Result.push_back({Window, Found->second});
+  std::size_t Counts = 0;
+  for (auto Entry = Windows_.rbegin(); Entry != Windows_.rend(); ++Entry) {
+    const auto Found = Entry->second.find("");
+    if (Entry->first < Oldest || Found == Entry->second.end())
+      continue;
+    Counts += Found->second.size();
+    // Older windows were told when they were new.
+    if (Counts > MaxCounts)
+      break;
+    Result.push_back({Entry->first, Found->second});
   }
   return Result;
 }
--- a/src/duties/usage_test.cpp
+++ b/src/duties/usage_test.cpp
@@ -29,11 +29,24 @@
   CHECK(Ledger.total(Number).Counts == UsageCounts{{"a", 8}, {"b", 1}});
   Ledger.merge("n3/1", {Number + 5, {{"a", 3}}}, Start + 60);
   CHECK(Ledger.total(Number + 5).Counts.empty());
-  CHECK(Ledger.own(Start).size() == 1);
+  CHECK(Ledger.own(Start, 9).size() == 1);
   Ledger.discardOld(Start + 100000);
   CHECK(Ledger.total(Number).Counts.empty());
 }
 
+// Guards against messages full of old windows, so that the holder hears of new
+// ones when their reports are decided already.
+TEST_CASE("the newest windows are told first") {
+  UsageLedger Ledger(Window, 3);
+  for (int Index = 0; Index < 3; ++Index)
+    for (const char *Workspace : {"a", "b"})
+      Ledger.count(Workspace, Start + 5000 * Index);
+  const auto Told = Ledger.own(Start + 10000, 5);
+  REQUIRE(Told.size() == 2);
+  CHECK(Told[0].Window == Ledger.windowAt(Start + 10000));
+  CHECK(Told[1].Window == Ledger.windowAt(Start + 5000));
+}
+
 // Guards against a report that is sent before the store holds it, or whose
 // counts change afterwards.
 TEST_CASE("a window is decided once and sent after it was recorded") {
--- a/src/gateway/duty_runner.cpp
+++ b/src/gateway/duty_runner.cpp
@@ -83,12 +83,9 @@
                       .count();
   if (!ToCandidates)
     return Result;
-  std::size_t Counts = 0;
-  for (const duties::UsageReport &Counted : Ledger_.own(unixMs())) {
-    Counts += Counted.Counts.size();
-    if (Counts <= MaxCountsPerMessage)
-      Result.Usage.push_back({Counted.Window, Counted.Counts});
-  }
+  for (duties::UsageReport &Counted :
+       Ledger_.own(unixMs(), MaxCountsPerMessage))
+    Result.Usage.push_back({Counted.Window, std::move(Counted.Counts)});
   if (Lease_.mayAct(BootClock::now())) {
     Result.Fence = Lease_.fence();
     Result.RowVersion = Lease_.known().Version;
