--- a/include/cassiashed/duties/scaling.h
+++ b/include/cassiashed/duties/scaling.h
@@ -39,7 +39,7 @@
 class ReplicaPlanner {
 public:
   /// Records a request that was sent to the service, by its engine time.
-  void recordWork(double EngineMs, TimePoint Now);
+  void recordWork(double EngineMs, const ScalingLimits &Limits, TimePoint Now);
 
   /// Orders that are due. Without enough knowledge of the load there are none:
   /// the last orders hold.
@@ -48,12 +48,17 @@
                                       TimePoint Now);
   /// The order of `Zone` was sent; `Accepted`: the platform confirmed it.
   void recordOrder(const ReplicaOrder &Order, bool Accepted, TimePoint Now);
+  /// Part of the work up to now was not seen: no orders of fewer replicas until
+  /// a hold time has passed.
+  void recordGap(TimePoint Now) { GapAt_ = Now; }
   /// Forgets the orders, not the load. To be called when this node takes over.
   void beginTerm();
 
   /// Replicas that the recent peak of the work takes, as a fraction; nothing
   /// until the load was seen for long enough.
   std::optional<double> wanted(const ScalingLimits &Limits, TimePoint Now);
+  /// Intervals of work that are remembered.
+  std::size_t keptBins() const { return Bins_.size(); }
 
 private:
   struct Bin {
@@ -68,11 +73,14 @@
   };
   static Duration holdTime(const ScalingLimits &Limits);
   static Duration rateWindow(const ScalingLimits &Limits);
+  /// Forgets work on which no order depends any more.
+  void discardOld(const ScalingLimits &Limits, TimePoint Now);
   /// Engines that the work of the busiest known interval of this length took.
   double peakUse(Duration Window) const;
 
   std::deque<Bin> Bins_;
   std::optional<TimePoint> FirstWorkAt_;
+  TimePoint GapAt_; ///< end of the last gap in what was seen
   std::map<std::string, ZoneOrderState> Orders_;
 };
 
--- a/src/duties/scaling.cpp
+++ b/src/duties/scaling.cpp
@@ -11,9 +11,7 @@
 /// single long prompts.
 constexpr Duration MinRateWindow{3000};
 /// Share of an engine's time that lasting work may take. Above, requests queue
-/// behind long prompts and miss the objective of their first token. On 60
-/// engines a burst of long prompts that took about 0.8 of their time for 3 s
-/// left 95 % of the requests within their objectives.
+/// behind long prompts; the headroom keeps first tokens in their objective.
 constexpr double TargetUse = 0.8;
 /// Share above which engines fall behind within seconds: replicas are ordered
 /// before the rate has lasted for the boot of one.
@@ -44,7 +42,10 @@
   return engine::prefillMs(Spec, 0, PromptTokens) + OutputTokens * StepMs;
 }
 
-void ReplicaPlanner::recordWork(double EngineMs, TimePoint Now) {
+void ReplicaPlanner::recordWork(double EngineMs, const ScalingLimits &Limits,
+                                TimePoint Now) {
+  // Here as well as before orders: most nodes never order.
+  discardOld(Limits, Now);
   if (!FirstWorkAt_)
     FirstWorkAt_ = Now;
   if (Bins_.empty() || Now - Bins_.back().Start >= BinLength)
@@ -63,6 +64,12 @@
   return std::max(MinRateWindow, Limits.Boot);
 }
 
+void ReplicaPlanner::discardOld(const ScalingLimits &Limits, TimePoint Now) {
+  while (!Bins_.empty() &&
+         Now - Bins_.front().Start > holdTime(Limits) + rateWindow(Limits))
+    Bins_.pop_front();
+}
+
 double ReplicaPlanner::peakUse(Duration Window) const {
   double Peak = 0;
   double Sum = 0;
@@ -81,9 +88,7 @@
 std::optional<double> ReplicaPlanner::wanted(const ScalingLimits &Limits,
                                              TimePoint Now) {
   const Duration Window = rateWindow(Limits);
-  while (!Bins_.empty() &&
-         Now - Bins_.front().Start > holdTime(Limits) + Window)
-    Bins_.pop_front();
+  discardOld(Limits, Now);
   if (!FirstWorkAt_ || Now - *FirstWorkAt_ < MinRateWindow)
     return std::nullopt;
   return std::max(peakUse(Window) / TargetUse,
@@ -103,7 +108,8 @@
   const int Needed = static_cast<int>(
       std::min(std::ceil(*Wanted / static_cast<double>(InService)), MaxNeeded));
   const int PerZone = std::clamp(Needed, Limits.Minimum, Limits.Maximum);
-  const bool SeenWholeHold = Now - *FirstWorkAt_ >= holdTime(Limits);
+  const bool SeenWholeHold =
+      Now - std::max(*FirstWorkAt_, GapAt_) >= holdTime(Limits);
   for (const ZoneReplicas &State : Zones) {
     // The replicas of a zone out of service are needed when it comes back.
     if (!State.InService)
--- a/src/gateway/duty_runner.cpp
+++ b/src/gateway/duty_runner.cpp
@@ -15,6 +15,9 @@
 /// An older copy of the endpoints' table does not show how many replicas there
 /// are.
 constexpr Duration MaxTableAge{5000};
+/// Ticks are 100 ms apart; a process that missed this much was suspended, and
+/// messages about the load were lost.
+constexpr Duration MaxTickGap{1000};
 /// Counts are told once a second or more often, and twice in this time.
 constexpr Duration UsageSettle{2500};
 /// Counts in one message. Larger ones would not fit into the receive buffer.
@@ -26,6 +29,10 @@
          1;
 }
 
+duties::ScalingLimits limitsOf(const catalog::ServiceScaling &Scaling) {
+  return {Scaling.Minimum, Scaling.Maximum, Scaling.Boot};
+}
+
 } // namespace
 
 DutyRunner::DutyRunner(GatewayState &State, StoreClient &Store, DutyApi &Api,
@@ -66,7 +73,7 @@
     Plans_[Service->Name].Planner.recordWork(
         duties::engineTimeMs(*Service->Engine, Work.Request.PromptTokens,
                              Work.Request.OutputTokens),
-        State_.now());
+        limitsOf(*Service->Scaling), State_.now());
 }
 
 std::optional<DutyMessage> DutyRunner::ownMessage(bool ToCandidates) const {
@@ -76,12 +83,9 @@
                       .count();
   if (!ToCandidates)
     return Result;
-  std::size_t Counts = 0;
-  for (const duties::UsageReport &Counted : Ledger_.own(unixMs())) {
-    Counts += Counted.Counts.size();
-    if (Counts <= MaxCountsPerMessage)
-      Result.Usage.push_back({Counted.Window, Counted.Counts});
-  }
+  for (duties::UsageReport &Counted :
+       Ledger_.own(unixMs(), MaxCountsPerMessage))
+    Result.Usage.push_back({Counted.Window, std::move(Counted.Counts)});
   if (Lease_.mayAct(BootClock::now())) {
     Result.Fence = Lease_.fence();
     Result.RowVersion = Lease_.known().Version;
@@ -93,11 +97,8 @@
 void DutyRunner::handleMessage(const DutyMessage &Message,
                                const DutySender &From) {
   const BootTime Now = BootClock::now();
-  if (Message.UnixMs > 0) {
-    const auto Own = std::chrono::duration_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now().time_since_epoch());
-    WallClock_.recordPeer(From.Node, Message.UnixMs, Own.count(), Now);
-  }
+  if (Message.UnixMs > 0)
+    WallClock_.recordPeer(From.Node, Message.UnixMs, Now);
   const std::string Origin = From.Node + '/' + std::to_string(From.Incarnation);
   for (const UsageMessage &Counted : Message.Usage)
     Ledger_.merge(Origin, {Counted.Window, Counted.Counts}, unixMs());
@@ -126,6 +127,7 @@
 void DutyRunner::tick() {
   const BootTime Now = BootClock::now();
   Ledger_.discardOld(unixMs());
+  followLoad(Now);
   followLease(Now);
   logLeaseChange("the last renewal is too old");
   if (!Lease_.mayAct(Now))
@@ -141,6 +143,15 @@
   }
 }
 
+void DutyRunner::followLoad(BootTime Now) {
+  const bool WasSuspended = Now - LastTickAt_ > MaxTickGap;
+  LastTickAt_ = Now;
+  if (!WasSuspended && State_.Nodes->seesFleetLoad())
+    return;
+  for (auto &[Name, Plan] : Plans_)
+    Plan.Planner.recordGap(State_.now());
+}
+
 void DutyRunner::followLease(BootTime Now) {
   const std::optional<std::size_t> Rank = rank();
   const Duration ExtraWait =
@@ -336,9 +347,7 @@
 
 http::Task<void> DutyRunner::orderForService(const catalog::Service &Service) {
   ServicePlan &Plan = Plans_[Service.Name];
-  const duties::ScalingLimits Limits{Service.Scaling->Minimum,
-                                     Service.Scaling->Maximum,
-                                     Service.Scaling->Boot};
+  const duties::ScalingLimits Limits = limitsOf(*Service.Scaling);
   const std::vector<duties::ZoneReplicas> Zones =
       zonesOf(Service.Name, Plan.Zones);
   const std::vector<duties::ReplicaOrder> Due =
