--- a/src/gateway/catalog_updater.cpp
+++ b/src/gateway/catalog_updater.cpp
@@ -15,6 +15,11 @@
 /// seconds too.
 constexpr Duration StoreRecoveryWindow{2500};
 constexpr Duration RemovalDelay{1700};
+/// An order that the store lost with a restore stays in force for this long:
+/// the operator writes it again, and a zone that returns too early gets
+/// requests against an acknowledged order. One that stays out too long only
+/// lacks capacity.
+constexpr Duration LostOrderRetention{15000};
 
 } // namespace
 
@@ -23,14 +28,20 @@
 }
 
 void CatalogUpdater::apply(Table TableId, const std::vector<Row> &Rows,
-                           TimePoint StoreRegainedAt) {
+                           TimePoint StoreRegainedAt, bool BeginsEra) {
+  // What an earlier restore lost was perhaps written again and lost once more.
+  if (BeginsEra && TableId == Table::Operator)
+    for (auto &[Zone, KeptUntil] : LostZoneOrders_)
+      KeptUntil = State_.now() + LostOrderRetention;
+  if (BeginsEra && TableId == Table::Endpoints)
+    Restored_.beginEra(State_.now());
   for (const Row &RowChange : Rows)
     switch (TableId) {
     case Table::Operator:
-      applyOperatorRow(RowChange);
+      applyOperatorRow(RowChange, BeginsEra);
       break;
     case Table::Endpoints:
-      applyEndpointRow(RowChange, StoreRegainedAt);
+      applyEndpointRow(RowChange, StoreRegainedAt, BeginsEra);
       break;
     case Table::Nodes:
       applyNodeRow(RowChange);
@@ -39,13 +50,26 @@
   prepareTimelines();
 }
 
-void CatalogUpdater::applyOperatorRow(const Row &RowChange) {
+void CatalogUpdater::returnZone(const std::string &Zone,
+                                std::uint64_t Version) {
+  State_.Directory.setZoneOut(Zone, false);
+  logEvent("zone_in").field("zone", Zone).field("row", Version);
+}
+
+void CatalogUpdater::applyOperatorRow(const Row &RowChange, bool BeginsEra) {
   if (RowChange.Removed) {
     const std::string Zone = State_.Protocol.zoneOfOperatorKey(RowChange.Key);
-    if (!Zone.empty()) {
-      State_.Directory.setZoneOut(Zone, false);
-      logEvent("zone_in").field("zone", Zone).field("row", RowChange.Version);
+    if (Zone.empty())
+      return;
+    if (BeginsEra) {
+      LostZoneOrders_[Zone] = State_.now() + LostOrderRetention;
+      logWarning("zone_order_lost")
+          .field("zone", Zone)
+          .field("kept_ms", LostOrderRetention.count());
+      return;
     }
+    LostZoneOrders_.erase(Zone);
+    returnZone(Zone, RowChange.Version);
     return;
   }
   std::string Reason;
@@ -70,6 +94,7 @@
         .field("row", RowChange.Version)
         .field("routes", State_.Config->Routes.size());
   } else if (const auto *Order = std::get_if<ZoneOutOrder>(&*Decoded)) {
+    LostZoneOrders_.erase(Order->Zone);
     State_.Directory.setZoneOut(Order->Zone, true);
     logEvent("zone_out")
         .field("zone", Order->Zone)
@@ -78,21 +103,48 @@
 }
 
 void CatalogUpdater::applyEndpointRow(const Row &RowChange,
-                                      TimePoint StoreRegainedAt) {
+                                      TimePoint StoreRegainedAt,
+                                      bool BeginsEra) {
   const TimePoint Now = State_.now();
+  Restored_.recordRow(RowChange, BeginsEra, Now);
   if (RowChange.Removed) {
-    if (!State_.Directory.find(RowChange.Key))
+    const catalog::EndpointRef Known = State_.Directory.find(RowChange.Key);
+    if (!Known)
       return;
-    if (Now - StoreRegainedAt < StoreRecoveryWindow)
-      PendingRemovals_.emplace(RowChange.Key, Now + RemovalDelay);
-    else
+    if (BeginsEra || Now - StoreRegainedAt < StoreRecoveryWindow) {
+      const bool WasLost =
+          BeginsEra && Known->Entry.State != catalog::EndpointState::Draining;
+      PendingRemoval &Pending =
+          PendingRemovals_
+              .try_emplace(RowChange.Key,
+                           PendingRemoval{Now + RemovalDelay, WasLost})
+              .first->second;
+      Pending.WasLost = Pending.WasLost && WasLost;
+    } else {
+      Restored_.recordRemoval(Known->Entry, Now);
       removeEndpoint(RowChange.Key, "left");
+    }
     return;
   }
-  PendingRemovals_.erase(RowChange.Key);
   std::string Reason;
   const std::optional<catalog::Endpoint> Decoded =
       State_.Protocol.decodeEndpoint(RowChange, Reason);
+  const catalog::EndpointRef Before = State_.Directory.find(RowChange.Key);
+  if (BeginsEra && Decoded) {
+    const auto Pending = PendingRemovals_.find(RowChange.Key);
+    const bool IsLeaving =
+        Pending != PendingRemovals_.end() && !Pending->second.WasLost;
+    const HeldReason Held =
+        Restored_.hold(RowChange, *Decoded, Before, IsLeaving, Now);
+    if (Held != HeldReason::None) {
+      logWarning("endpoint_row_held")
+          .field("endpoint", RowChange.Key)
+          .field("row", RowChange.Version)
+          .field("reason", nameOf(Held));
+      return;
+    }
+  }
+  PendingRemovals_.erase(RowChange.Key);
   if (!Decoded) {
     logWarning("endpoint_row_rejected")
         .field("endpoint", RowChange.Key)
@@ -101,7 +153,6 @@
     removeEndpoint(RowChange.Key, "registration cannot be decoded");
     return;
   }
-  const catalog::EndpointRef Before = State_.Directory.find(RowChange.Key);
   const EndpointDirectory::Change Change = State_.Directory.put(*Decoded, Now);
   if (Change == EndpointDirectory::Change::Restarted) {
     State_.Load.removeEndpoint(RowChange.Key);
@@ -166,14 +217,32 @@
 }
 
 void CatalogUpdater::tick(TimePoint Now) {
-  for (auto Removal = PendingRemovals_.begin();
-       Removal != PendingRemovals_.end();) {
-    if (Removal->second > Now) {
-      ++Removal;
+  for (auto Lost = LostZoneOrders_.begin(); Lost != LostZoneOrders_.end();) {
+    if (Lost->second > Now) {
+      ++Lost;
       continue;
     }
-    removeEndpoint(Removal->first, "expired while the store was unavailable");
-    Removal = PendingRemovals_.erase(Removal);
+    returnZone(Lost->first, 0);
+    Lost = LostZoneOrders_.erase(Lost);
+  }
+  for (const Row &Due : Restored_.takeDue(Now))
+    applyEndpointRow(Due, TimePoint(), false);
+  carryOutRemovals(Now);
+}
+
+void CatalogUpdater::carryOutRemovals(TimePoint Now) {
+  for (auto Next = PendingRemovals_.begin(); Next != PendingRemovals_.end();) {
+    const auto Removal = Next++;
+    const auto [Due, WasLost] = Removal->second;
+    if (Due > Now)
+      continue;
+    const std::string Id = Removal->first;
+    PendingRemovals_.erase(Removal);
+    const catalog::EndpointRef Known = State_.Directory.find(Id);
+    if (Known && !WasLost)
+      Restored_.recordRemoval(Known->Entry, Now);
+    removeEndpoint(Id, WasLost ? "not registered again after a restore"
+                               : "expired while the store was unavailable");
   }
 }
 
